Start the module: schema, shared types, tooling

Cause: the parts of the fleet are built side by side and need one set of words, messages and checks before anything else. Ruled out: one big package for everything (no part could be read or tested alone); hand-written codecs between nodes (connect-go and protobuf give them). Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# cowsliptally: entry points. Only Go and make are needed.
+
+LINTER_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+LINTER := $(GOBIN)/golangci-lint
+SEED ?= 1
+
+.PHONY: all build demo test check lint format generate bench soak slopes install-tools clean
+
+all: build
+
+# Builds every program into bin/.
+build:
+	go build -o bin/ . ./demo ./experiment ./standin/...
+
+# Runs the whole path as separate processes under load and faults.
+demo: build
+	./bin/demo --seed $(SEED)
+
+# Runs all tests with the race detector.
+test:
+	go test -race -timeout 12m ./...
+
+# Checks format, linter and, where buf is installed, the generated code.
+check: install-tools
+	$(LINTER) fmt --diff
+	$(LINTER) run ./...
+	go mod tidy -diff
+	@if command -v buf >/dev/null 2>&1 || [ -x $(GOBIN)/buf ]; then \
+		PATH="$$PATH:$(GOBIN)" buf lint && \
+		PATH="$$PATH:$(GOBIN)" ./tools/generated; \
+	else echo "buf is not installed: generated code not compared"; fi
+
+# Formats the code.
+format: install-tools
+	$(LINTER) fmt
+
+# Regenerates gen/ from schema/; needs buf, protoc-gen-go and protoc-gen-connect-go.
+generate:
+	PATH="$$PATH:$(GOBIN)" buf generate
+
+# Runs the benchmarks; speeds are compared as ratios in one run.
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# Prints the slopes that docs/CAPACITY.md is worked out from.
+slopes:
+	go run ./slopes
+
+# Runs long seeded failure schedules against real processes.
+soak: build
+	go test -count=1 -timeout 60m ./proof -run TestSoak -soak -seed $(SEED) -v
+
+install-tools:
+	@[ -x $(LINTER) ] && $(LINTER) version 2>/dev/null | grep -q "$(LINTER_VERSION:v%=%)" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/fleet/header.go
@@ -0,0 +1,39 @@
+package fleet
+
+// Headers between callers, nodes and backend servers.
+const (
+	// HeaderRequest carries the RequestID.
+	HeaderRequest = "Cowsliptally-Request"
+	// HeaderService names a service and goes before the routes.
+	HeaderService = "Cowsliptally-Service"
+	// HeaderKind names the request kind.
+	HeaderKind = "Cowsliptally-Kind"
+	// HeaderOrganisation names the organisation.
+	HeaderOrganisation = "Cowsliptally-Organisation"
+	// HeaderTimeout carries the remaining time in whole milliseconds.
+	HeaderTimeout = "Cowsliptally-Timeout"
+	// HeaderIdempotent carries "true" or "false" and goes before the route.
+	HeaderIdempotent = "Cowsliptally-Idempotent"
+	// HeaderKey carries the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderBackend names the backend server of an attempt or answer.
+	HeaderBackend = "Cowsliptally-Backend"
+	// HeaderAttempt counts the attempts of a request from 1.
+	HeaderAttempt = "Cowsliptally-Attempt"
+	// HeaderExecuted carries an Executed value in every answer.
+	HeaderExecuted = "Cowsliptally-Executed"
+	// HeaderReason carries a Reason in error answers.
+	HeaderReason = "Cowsliptally-Reason"
+	// HeaderInFlight carries the owner's requests in flight for the backend server.
+	HeaderInFlight = "Cowsliptally-Inflight"
+	// HeaderQueued carries the owner's waiting requests for the backend server.
+	HeaderQueued = "Cowsliptally-Queued"
+	// HeaderSlots carries the slots of the backend server.
+	HeaderSlots = "Cowsliptally-Slots"
+	// HeaderServiceTime carries the time at the backend server in microseconds.
+	HeaderServiceTime = "Cowsliptally-Service-Time"
+	// HeaderRevision carries the configuration revision of the answering node.
+	HeaderRevision = "Cowsliptally-Revision"
+	// HeaderLength carries the length of the answer's body in bytes between nodes.
+	HeaderLength = "Cowsliptally-Length"
+)
--- /dev/null
+++ b/fleet/route.go
@@ -0,0 +1,30 @@
+package fleet
+
+import "time"
+
+// Route maps requests to a service and says how they may be treated.
+type Route struct {
+	Name    string
+	Service ServiceName
+	// Host and Method match any request when empty.
+	Host       string
+	Method     string
+	PathPrefix string
+	Kind       RequestKind
+	// Weight is the worth of one answered request.
+	Weight     int
+	Idempotent bool
+	// Timeout is the time limit of a request; 0 takes the node's default.
+	Timeout time.Duration
+}
+
+// Matches reports whether a request with this host, method and path takes the route.
+func (r Route) Matches(host, method, path string) bool {
+	if r.Host != "" && r.Host != host {
+		return false
+	}
+	if r.Method != "" && r.Method != method {
+		return false
+	}
+	return len(path) >= len(r.PathPrefix) && path[:len(r.PathPrefix)] == r.PathPrefix
+}
