Add the log client, the fold, the keeper and the operators' commands

Cause: configuration and fleet facts need one order that all nodes fold alike. Ruled out: a map copied for each change (490,000 limits), reading the log in the keeper itself (a watermill adapter has to fit between), a blind repeat of appends. After: tailer, keeper, operator, fetcher, editor, folder, indexer, configfile, client commands and a stand-in for the log service; one test drives a command through RPC, keeper and log.

--- /dev/null
+++ b/command/apply.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"os"
+
+	"cowsliptally.example/cowsliptally/configfile"
+	"cowsliptally.example/cowsliptally/editor"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// Apply brings the configuration to what a file says.
+type Apply struct {
+	Proposal
+	File  string `arg:"" type:"existingfile" help:"Configuration file (YAML)."`
+	Prune bool   `help:"Delete services, routes and limits that the file lacks."`
+}
+
+// Run proposes the differences. A file that names a revision is applied only
+// onto that one.
+func (a *Apply) Run(c *Context) error {
+	wanted, err := readFile(a.File)
+	if err != nil {
+		return err
+	}
+	current, err := c.configuration()
+	if err != nil {
+		return err
+	}
+	changes := configfile.Diff(current, wanted, mode(a.Prune))
+	c.printf("%s", configfile.Describe(current, changes))
+	base := current.GetRevision()
+	if wanted.GetRevision() != 0 {
+		base = wanted.GetRevision()
+	}
+	if a.Base != 0 {
+		base = a.Base
+	}
+	if len(changes) == 0 {
+		c.printf("nothing to change at revision %d\n", current.GetRevision())
+		return nil
+	}
+	return a.submitAll(c, base, changes)
+}
+
+// submitAll proposes many changes in several operations, one onto the other.
+func (a *Apply) submitAll(c *Context, base uint64, changes []*cowsliptallyv1.Change) error {
+	if len(changes) > editor.MaxChanges && (a.Operation != "" || a.DryRun) {
+		return fail("apply", KindInput, "%d changes need several operations: --operation and --dry-run allow at most %d", len(changes), editor.MaxChanges)
+	}
+	for len(changes) > 0 {
+		count := min(len(changes), editor.MaxChanges)
+		revision, err := a.submit(c, base, changes[:count])
+		if err != nil {
+			return err
+		}
+		base = revision
+		changes = changes[count:]
+	}
+	return nil
+}
+
+func readFile(path string) (*cowsliptallyv1.Configuration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Operation: "read file", Kind: KindInput, Err: err}
+	}
+	wanted, err := configfile.Decode(path, data)
+	if err != nil {
+		return nil, &Error{Operation: "read file", Kind: KindInput, Err: err}
+	}
+	return wanted, nil
+}
+
+func mode(prune bool) configfile.Mode {
+	if prune {
+		return configfile.Prune
+	}
+	return configfile.Keep
+}
--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,103 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/command"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/logclient"
+	"cowsliptally.example/cowsliptally/operator"
+	"cowsliptally.example/cowsliptally/standin/logservice/server"
+
+	"net/http"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+type alone struct{}
+
+func (alone) Revisions(context.Context) []*cowsliptallyv1.NodeRevision { return nil }
+
+type cli struct {
+	Apply     command.Apply     `cmd:""`
+	Export    command.Export    `cmd:""`
+	Diff      command.Diff      `cmd:""`
+	History   command.History   `cmd:""`
+	Operation command.Operation `cmd:""`
+	InForce   command.InForce   `cmd:"" name:"inforce"`
+	Service   command.Service   `cmd:""`
+	Route     command.Route     `cmd:""`
+	Limit     command.Limit     `cmd:""`
+	Override  command.Override  `cmd:""`
+}
+
+// node starts a node's operators' service over a log service in this process.
+func node(t *testing.T) (*command.Context, *server.Server, *keeper.Keeper) {
+	t.Helper()
+	logs := server.New()
+	logServer := httptest.NewServer(logs)
+	t.Cleanup(logServer.Close)
+	client := logclient.New(strings.TrimPrefix(logServer.URL, "http://"))
+	k := keeper.New(client)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	mux := http.NewServeMux()
+	mux.Handle(cowsliptallyv1connect.NewOperatorServiceHandler(operator.New("n1", k, alone{})))
+	nodeServer := httptest.NewServer(mux)
+	t.Cleanup(nodeServer.Close)
+	for !k.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	address := strings.TrimPrefix(nodeServer.URL, "http://")
+	return &command.Context{Address: address, Timeout: 20 * time.Second}, logs, k
+}
+
+func run(t *testing.T, c *command.Context, arguments ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	c.Out = &out
+	parser, err := kong.New(&cli{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		t.Fatalf("%v: %v", arguments, err)
+	}
+	err = parsed.Run(c)
+	return out.String(), err
+}
+
+func TestServiceIsPutListedAndInForce(t *testing.T) {
+	is := is.New(t)
+	c, _, k := node(t)
+	out, err := run(t, c, "service", "put", "ledger", "--lean=steady", "--author=haneul")
+	is.NoErr(err)
+	is.True(strings.Contains(out, "accepted as revision 1"))
+	_, found := k.Configuration().Service(fleet.ServiceName("ledger"))
+	is.True(found)
+	out, err = run(t, c, "service", "list")
+	is.NoErr(err)
+	is.True(strings.Contains(out, "service=ledger"))
+	out, err = run(t, c, "inforce", "1")
+	is.NoErr(err)
+	is.True(strings.Contains(out, "all 1 nodes"))
+	_, err = run(t, c, "route", "put", "r", "--service=unknown")
+	is.Equal(command.ExitCode(err), 1)
+	is.True(strings.Contains(err.Error(), `service "unknown" does not exist`))
+}
--- /dev/null
+++ b/command/diff.go
@@ -0,0 +1,23 @@
+package command
+
+import "cowsliptally.example/cowsliptally/configfile"
+
+// Diff prints what Apply would change.
+type Diff struct {
+	File  string `arg:"" type:"existingfile" help:"Configuration file (YAML)."`
+	Prune bool   `help:"Show deletions of what the file lacks."`
+}
+
+// Run prints one line for each difference.
+func (d *Diff) Run(c *Context) error {
+	wanted, err := readFile(d.File)
+	if err != nil {
+		return err
+	}
+	current, err := c.configuration()
+	if err != nil {
+		return err
+	}
+	c.printf("%s", configfile.Describe(current, configfile.Diff(current, wanted, mode(d.Prune))))
+	return nil
+}
--- /dev/null
+++ b/command/proposal.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// Proposal holds the flags of every subcommand that changes the configuration.
+type Proposal struct {
+	Author    string `env:"COWSLIPTALLY_AUTHOR,USER" help:"Who changes it, for the history."`
+	Operation string `help:"Identifier of the operation, to repeat it safely; a new one by default."`
+	Base      uint64 `help:"Revision that the change was made from; the current one by default."`
+	DryRun    bool   `help:"Only tell what would happen."`
+}
+
+// submit proposes the changes on a base revision and returns the new revision.
+func (p *Proposal) submit(c *Context, base uint64, changes []*cowsliptallyv1.Change) (uint64, error) {
+	id := p.Operation
+	if id == "" {
+		fresh, err := uuid.NewV7()
+		if err != nil {
+			return 0, fail("propose", KindUnavailable, "no identifier: %w", err)
+		}
+		id = fresh.String()
+	}
+	request := &cowsliptallyv1.ProposeRequest{
+		Proposal: &cowsliptallyv1.Proposal{Operation: id, BaseRevision: base, Author: p.Author, Changes: changes},
+		DryRun:   p.DryRun,
+	}
+	ctx, cancel := c.call()
+	defer cancel()
+	response, err := c.Operator().Propose(ctx, connect.NewRequest(request))
+	if err != nil {
+		return 0, proposeFailed(id, err)
+	}
+	return report(c, response.Msg.GetVerdict(), p.DryRun)
+}
+
+// change proposes the changes of one subcommand on the current revision.
+func (p *Proposal) change(c *Context, changes ...*cowsliptallyv1.Change) error {
+	base := p.Base
+	if base == 0 {
+		current, err := c.configuration()
+		if err != nil {
+			return err
+		}
+		base = current.GetRevision()
+	}
+	_, err := p.submit(c, base, changes)
+	return err
+}
+
+// report prints a verdict and turns a refusal into an error.
+func report(c *Context, verdict *cowsliptallyv1.Verdict, dryRun bool) (uint64, error) {
+	if verdict.GetRefusal() != "" {
+		return 0, fail("propose", KindRefused, "operation %s: %s; the current revision is %d", verdict.GetOperation(), verdict.GetRefusal(), verdict.GetCurrentRevision())
+	}
+	if dryRun {
+		c.printf("would be accepted as revision %d\n", verdict.GetRevision())
+		return verdict.GetRevision(), nil
+	}
+	c.printf("accepted as revision %d (operation %s)\n", verdict.GetRevision(), verdict.GetOperation())
+	return verdict.GetRevision(), nil
+}
--- /dev/null
+++ b/configfile/describe.go
@@ -0,0 +1,83 @@
+package configfile
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// Describe returns one line for each change: "+" for what is new, "-" for what
+// is deleted, "~" with the fields for what changes.
+func Describe(from *cowsliptallyv1.Configuration, changes []*cowsliptallyv1.Change) string {
+	var text strings.Builder
+	for _, change := range changes {
+		text.WriteString(describe(from, change))
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+func describe(from *cowsliptallyv1.Configuration, change *cowsliptallyv1.Change) string {
+	switch edit := change.GetEdit().(type) {
+	case *cowsliptallyv1.Change_PutService:
+		return put("service", edit.PutService, from.GetServices(), (*cowsliptallyv1.Service).GetName)
+	case *cowsliptallyv1.Change_PutRoute:
+		return put("route", edit.PutRoute, from.GetRoutes(), (*cowsliptallyv1.Route).GetName)
+	case *cowsliptallyv1.Change_PutLimit:
+		return put("limit", edit.PutLimit, from.GetLimits(), (*cowsliptallyv1.Limit).GetOrganisation)
+	case *cowsliptallyv1.Change_PutOverride:
+		return put("override", edit.PutOverride, from.GetOverrides(), (*cowsliptallyv1.Override).GetBackend)
+	case *cowsliptallyv1.Change_DeleteService:
+		return "- service " + edit.DeleteService
+	case *cowsliptallyv1.Change_DeleteRoute:
+		return "- route " + edit.DeleteRoute
+	case *cowsliptallyv1.Change_DeleteLimit:
+		return "- limit " + edit.DeleteLimit
+	case *cowsliptallyv1.Change_DeleteOverride:
+		return "- override " + edit.DeleteOverride
+	default:
+		return "? unknown change"
+	}
+}
+
+func put[M proto.Message](noun string, entry M, known []M, name func(M) string) string {
+	before, found := byName(known, name)[name(entry)]
+	if !found {
+		return fmt.Sprintf("+ %s %s %s", noun, name(entry), strings.Join(fields("", nil, entry.ProtoReflect()), " "))
+	}
+	return fmt.Sprintf("~ %s %s %s", noun, name(entry), strings.Join(fields("", before.ProtoReflect(), entry.ProtoReflect()), " "))
+}
+
+// fields lists the fields of a message that differ from those of before, or all
+// that are set when before is nil.
+func fields(prefix string, before, after protoreflect.Message) []string {
+	var lines []string
+	all := after.Descriptor().Fields()
+	for i := range all.Len() {
+		field := all.Get(i)
+		name := prefix + string(field.Name())
+		if field.Kind() == protoreflect.MessageKind {
+			lines = append(lines, fields(name+".", inner(before, field), after.Get(field).Message())...)
+			continue
+		}
+		value := after.Get(field)
+		switch {
+		case before == nil && after.Has(field):
+			lines = append(lines, fmt.Sprintf("%s=%v", name, value))
+		case before != nil && !before.Get(field).Equal(value):
+			lines = append(lines, fmt.Sprintf("%s=%v->%v", name, before.Get(field), value))
+		}
+	}
+	return lines
+}
+
+func inner(before protoreflect.Message, field protoreflect.FieldDescriptor) protoreflect.Message {
+	if before == nil {
+		return nil
+	}
+	return before.Get(field).Message()
+}
--- /dev/null
+++ b/configfile/doc.go
@@ -0,0 +1,7 @@
+// Package configfile reads and writes configurations as YAML of the schema's
+// Configuration message, and tells two configurations apart.
+//
+//	wanted, err := configfile.Decode("fleet.yaml", data)
+//	changes := configfile.Diff(current, wanted, configfile.Prune)
+//	text := configfile.Describe(current, changes)
+package configfile
--- /dev/null
+++ b/editor/route.go
@@ -0,0 +1,51 @@
+package editor
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// maxPathBytes bounds a path prefix.
+	maxPathBytes = 2048
+	// maxWeight is the highest weight of a request kind.
+	maxWeight = 1_000_000
+	// maxTimeout is the longest time limit of a route.
+	maxTimeout = time.Hour
+)
+
+func putRoute(c fleet.Configuration, r fleet.Route) (fleet.Configuration, string, error) {
+	const operation = "put route"
+	if err := checkName(operation, "route", r.Name); err != nil {
+		return c, "", err
+	}
+	if _, found := c.Service(r.Service); !found {
+		return c, "", refuse(operation, KindUnknown, "route %q: service %q does not exist", r.Name, r.Service)
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPathBytes {
+		return c, "", refuse(operation, KindValue, "route %q: path prefix %q does not begin with / or is longer than %d bytes", r.Name, r.PathPrefix, maxPathBytes)
+	}
+	if r.Method != strings.ToUpper(r.Method) || len(r.Method) > maxNameBytes {
+		return c, "", refuse(operation, KindValue, "route %q: method %q is not in capitals", r.Name, r.Method)
+	}
+	if len(r.Host) > maxNameBytes || len(r.Kind) > maxNameBytes {
+		return c, "", refuse(operation, KindValue, "route %q: host or kind is longer than %d bytes", r.Name, maxNameBytes)
+	}
+	if r.Weight > maxWeight {
+		return c, "", refuse(operation, KindValue, "route %q: weight %d is more than %d", r.Name, r.Weight, maxWeight)
+	}
+	if r.Timeout > maxTimeout {
+		return c, "", refuse(operation, KindValue, "route %q: time limit %v is more than %v", r.Name, r.Timeout, maxTimeout)
+	}
+	return c.WithRoute(r), fmt.Sprintf("put route %q to service %q", r.Name, r.Service), nil
+}
+
+func deleteRoute(c fleet.Configuration, name string) (fleet.Configuration, string, error) {
+	if _, found := c.Route(name); !found {
+		return c, "", refuse("delete route", KindUnknown, "route %q does not exist", name)
+	}
+	return c.WithoutRoute(name), fmt.Sprintf("delete route %q", name), nil
+}
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -57,3 +57,6 @@
 func (b Backend) TakesWork() bool {
 	return b.State == BackendReady || b.State == BackendStarting
 }
+
+// Key returns the identifier.
+func (b Backend) Key() BackendID { return b.ID }
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
-	"maps"
+	"iter"
 	"slices"
 	"strings"
+
+	"cowsliptally.example/cowsliptally/indexer"
 )
 
 // Revision counts accepted configurations from 1; 0 is the empty one.
@@ -13,10 +15,10 @@
 // is the empty configuration.
 type Configuration struct {
 	revision  Revision
-	services  map[ServiceName]Service
-	routes    map[string]Route
-	limits    map[Organisation]Limit
-	overrides map[BackendID]Override
+	services  indexer.Index[ServiceName, Service]
+	routes    indexer.Index[string, Route]
+	limits    indexer.Index[Organisation, Limit]
+	overrides indexer.Index[BackendID, Override]
 }
 
 // Revision returns the revision.
@@ -24,46 +26,53 @@
 
 // Service returns a service by name.
 func (c Configuration) Service(name ServiceName) (Service, bool) {
-	service, found := c.services[name]
-	return service, found
+	return c.services.Get(name)
 }
 
 // Services returns all services, sorted by name.
 func (c Configuration) Services() []Service {
-	return sorted(c.services, func(s Service) string { return string(s.Name) })
+	return sorted(c.services.All(), func(s Service) string { return string(s.Name) })
 }
 
 // Route returns a route by name.
 func (c Configuration) Route(name string) (Route, bool) {
-	route, found := c.routes[name]
-	return route, found
+	return c.routes.Get(name)
 }
 
 // Routes returns all routes, sorted by name.
 func (c Configuration) Routes() []Route {
-	return sorted(c.routes, func(r Route) string { return r.Name })
+	return sorted(c.routes.All(), func(r Route) string { return r.Name })
 }
 
 // Limit returns the limit of an organisation.
 func (c Configuration) Limit(name Organisation) (Limit, bool) {
-	limit, found := c.limits[name]
-	return limit, found
+	return c.limits.Get(name)
 }
 
 // Limits returns all limits, sorted by organisation.
 func (c Configuration) Limits() []Limit {
-	return sorted(c.limits, func(l Limit) string { return string(l.Organisation) })
+	return sorted(c.limits.All(), func(l Limit) string { return string(l.Organisation) })
 }
 
 // Override returns the operator's decision about a backend server.
 func (c Configuration) Override(id BackendID) (Override, bool) {
-	override, found := c.overrides[id]
-	return override, found
+	return c.overrides.Get(id)
 }
 
 // Overrides returns all overrides, sorted by backend server.
 func (c Configuration) Overrides() []Override {
-	return sorted(c.overrides, func(o Override) string { return string(o.Backend) })
+	return sorted(c.overrides.All(), func(o Override) string { return string(o.Backend) })
+}
+
+// EachRoute yields all routes in no particular order, without sorting them.
+func (c Configuration) EachRoute() iter.Seq[Route] { return c.routes.All() }
+
+// EachLimit yields all limits in no particular order, without sorting them.
+func (c Configuration) EachLimit() iter.Seq[Limit] { return c.limits.All() }
+
+// Counts returns the number of services, routes, limits and overrides.
+func (c Configuration) Counts() (services, routes, limits, overrides int) {
+	return c.services.Len(), c.routes.Len(), c.limits.Len(), c.overrides.Len()
 }
 
 // WithRevision returns a copy at another revision.
@@ -74,67 +83,52 @@
 
 // WithService returns a copy that holds the service.
 func (c Configuration) WithService(service Service) Configuration {
-	c.services = with(c.services, service.Name, service)
+	c.services = c.services.With(service)
 	return c
 }
 
 // WithoutService returns a copy that lacks the service.
 func (c Configuration) WithoutService(name ServiceName) Configuration {
-	c.services = without(c.services, name)
+	c.services = c.services.Without(name)
 	return c
 }
 
 // WithRoute returns a copy that holds the route.
 func (c Configuration) WithRoute(route Route) Configuration {
-	c.routes = with(c.routes, route.Name, route)
+	c.routes = c.routes.With(route)
 	return c
 }
 
 // WithoutRoute returns a copy that lacks the route.
 func (c Configuration) WithoutRoute(name string) Configuration {
-	c.routes = without(c.routes, name)
+	c.routes = c.routes.Without(name)
 	return c
 }
 
 // WithLimit returns a copy that holds the limit.
 func (c Configuration) WithLimit(limit Limit) Configuration {
-	c.limits = with(c.limits, limit.Organisation, limit)
+	c.limits = c.limits.With(limit)
 	return c
 }
 
 // WithoutLimit returns a copy that lacks the limit.
 func (c Configuration) WithoutLimit(name Organisation) Configuration {
-	c.limits = without(c.limits, name)
+	c.limits = c.limits.Without(name)
 	return c
 }
 
 // WithOverride returns a copy that holds the override.
 func (c Configuration) WithOverride(override Override) Configuration {
-	c.overrides = with(c.overrides, override.Backend, override)
+	c.overrides = c.overrides.With(override)
 	return c
 }
 
 // WithoutOverride returns a copy that lacks the override.
 func (c Configuration) WithoutOverride(id BackendID) Configuration {
-	c.overrides = without(c.overrides, id)
+	c.overrides = c.overrides.Without(id)
 	return c
 }
 
-func with[K comparable, V any](entries map[K]V, key K, value V) map[K]V {
-	changed := make(map[K]V, len(entries)+1)
-	maps.Copy(changed, entries)
-	changed[key] = value
-	return changed
-}
-
-func without[K comparable, V any](entries map[K]V, key K) map[K]V {
-	changed := maps.Clone(entries)
-	delete(changed, key)
-	return changed
-}
-
-func sorted[K comparable, V any](entries map[K]V, name func(V) string) []V {
-	values := slices.Collect(maps.Values(entries))
-	slices.SortFunc(values, func(a, b V) int { return strings.Compare(name(a), name(b)) })
-	return values
+func sorted[V any](entries iter.Seq[V], name func(V) string) []V {
+	return slices.SortedFunc(entries, func(a, b V) int { return strings.Compare(name(a), name(b)) })
 }
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -7,3 +7,6 @@
 	// Burst is the number of requests that may come at once.
 	Burst int
 }
+
+// Key returns the name under which a configuration holds the limit.
+func (l Limit) Key() Organisation { return l.Organisation }
--- a/fleet/override.go
+++ b/fleet/override.go
@@ -16,3 +16,6 @@
 	Decision Decision
 	Why      string
 }
+
+// Key returns the name under which a configuration holds the override.
+func (o Override) Key() BackendID { return o.Backend }
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -28,3 +28,6 @@
 	}
 	return len(path) >= len(r.PathPrefix) && path[:len(r.PathPrefix)] == r.PathPrefix
 }
+
+// Key returns the name under which a configuration holds the route.
+func (r Route) Key() string { return r.Name }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -19,3 +19,6 @@
 	s.MinHealthySlots = slots
 	return s
 }
+
+// Key returns the name under which a configuration holds the service.
+func (s Service) Key() ServiceName { return s.Name }
--- /dev/null
+++ b/folder/assembler.go
@@ -0,0 +1,62 @@
+package folder
+
+import cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+
+// Assembler puts the parts of a checkpoint together again.
+type Assembler struct {
+	parts []*cowsliptallyv1.Checkpoint
+}
+
+// Add takes a checkpoint or a part of one and returns the whole checkpoint with
+// its last part. Parts come in order; any other part begins anew.
+func (a *Assembler) Add(c *cowsliptallyv1.Checkpoint) (*cowsliptallyv1.Checkpoint, bool) {
+	if c.GetParts() <= 1 {
+		return c, true
+	}
+	if c.GetPart() == 1 {
+		a.parts = nil
+	}
+	if !a.follows(c) {
+		a.parts = nil
+		return nil, false
+	}
+	a.parts = append(a.parts, c)
+	if uint32(len(a.parts)) < c.GetParts() {
+		return nil, false
+	}
+	whole := join(a.parts)
+	a.parts = nil
+	return whole, true
+}
+
+func (a *Assembler) follows(c *cowsliptallyv1.Checkpoint) bool {
+	if c.GetPart() != uint32(len(a.parts)+1) {
+		return false
+	}
+	if len(a.parts) == 0 {
+		return true
+	}
+	first := a.parts[0]
+	return first.GetParts() == c.GetParts() && first.GetNextOffset() == c.GetNextOffset()
+}
+
+func join(parts []*cowsliptallyv1.Checkpoint) *cowsliptallyv1.Checkpoint {
+	whole := &cowsliptallyv1.Checkpoint{
+		NextOffset:    parts[0].GetNextOffset(),
+		Checkpointed:  parts[0].GetCheckpointed(),
+		Configuration: &cowsliptallyv1.Configuration{Revision: parts[0].GetConfiguration().GetRevision()},
+	}
+	for _, part := range parts {
+		from := part.GetConfiguration()
+		to := whole.Configuration
+		to.Services = append(to.Services, from.GetServices()...)
+		to.Routes = append(to.Routes, from.GetRoutes()...)
+		to.Limits = append(to.Limits, from.GetLimits()...)
+		to.Overrides = append(to.Overrides, from.GetOverrides()...)
+		whole.Backends = append(whole.Backends, part.GetBackends()...)
+		whole.Ejected = append(whole.Ejected, part.GetEjected()...)
+		whole.Verdicts = append(whole.Verdicts, part.GetVerdicts()...)
+		whole.History = append(whole.History, part.GetHistory()...)
+	}
+	return whole
+}
--- /dev/null
+++ b/folder/ejection.go
@@ -0,0 +1,22 @@
+package folder
+
+import (
+	"cmp"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// ejection is an accepted ejection.
+type ejection struct {
+	offset uint64
+	record *cowsliptallyv1.Ejection
+}
+
+// Key returns the backend server.
+func (e ejection) Key() fleet.BackendID { return fleet.BackendID(e.record.GetBackend()) }
+
+// compareEjections sorts the oldest first.
+func compareEjections(a, b ejection) int {
+	return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.Key(), b.Key()))
+}
--- /dev/null
+++ b/folder/group.go
@@ -0,0 +1,38 @@
+package folder
+
+import (
+	"slices"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// group is the joined backend servers of one service.
+type group struct {
+	service fleet.ServiceName
+	// members is sorted.
+	members []fleet.BackendID
+	// slots counts the slots of all members, healthy those of members in rotation.
+	slots   int
+	healthy int
+	// ejected counts the members that are ejected.
+	ejected int
+}
+
+// Key returns the service.
+func (g group) Key() fleet.ServiceName { return g.service }
+
+func (g group) withMember(id fleet.BackendID) group {
+	position, found := slices.BinarySearch(g.members, id)
+	if !found {
+		g.members = slices.Insert(slices.Clone(g.members), position, id)
+	}
+	return g
+}
+
+func (g group) withoutMember(id fleet.BackendID) group {
+	position, found := slices.BinarySearch(g.members, id)
+	if found {
+		g.members = slices.Delete(slices.Clone(g.members), position, position+1)
+	}
+	return g
+}
--- /dev/null
+++ b/folder/state.go
@@ -0,0 +1,112 @@
+package folder
+
+import (
+	"slices"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/indexer"
+)
+
+const (
+	// maxVerdicts is the number of last outcomes that are remembered.
+	maxVerdicts = 4096
+	// maxHistory is the number of last accepted changes that are remembered.
+	maxHistory = 1024
+)
+
+// State is the fold of the fleet's stream up to an offset. The zero value is
+// the fold of the empty stream. It is immutable and safe for concurrent use.
+type State struct {
+	configuration fleet.Configuration
+	nextOffset    uint64
+	checkpointed  uint64
+	backends      indexer.Index[fleet.BackendID, fleet.Backend]
+	groups        indexer.Index[fleet.ServiceName, group]
+	ejections     indexer.Index[fleet.BackendID, ejection]
+	// verdicts and history are copied before they are changed.
+	verdicts []*cowsliptallyv1.Verdict
+	history  []*cowsliptallyv1.Revision
+}
+
+// Configuration returns the configuration in force.
+func (s State) Configuration() fleet.Configuration { return s.configuration }
+
+// NextOffset returns the first offset that is not folded.
+func (s State) NextOffset() uint64 { return s.nextOffset }
+
+// Checkpointed returns the first offset that the newest checkpoint in the
+// stream does not cover, or 0 without a checkpoint.
+func (s State) Checkpointed() uint64 { return s.checkpointed }
+
+// Backend returns a joined backend server.
+func (s State) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	return s.backends.Get(id)
+}
+
+// Backends returns the joined backend servers of a service, sorted by identifier.
+func (s State) Backends(service fleet.ServiceName) []fleet.Backend {
+	g, _ := s.groups.Get(service)
+	backends := make([]fleet.Backend, 0, len(g.members))
+	for _, id := range g.members {
+		backend, _ := s.backends.Get(id)
+		backends = append(backends, backend)
+	}
+	return backends
+}
+
+// Joined returns all joined backend servers, sorted by identifier.
+func (s State) Joined() []fleet.Backend {
+	return slices.SortedFunc(s.backends.All(), compareBackends)
+}
+
+// Ejected returns the accepted ejection of a backend server.
+func (s State) Ejected(id fleet.BackendID) (*cowsliptallyv1.Ejection, bool) {
+	found, ok := s.ejections.Get(id)
+	return found.record, ok
+}
+
+// HealthySlots returns the slots of a service's joined backend servers that are
+// neither ejected nor kept out by an override.
+func (s State) HealthySlots(service fleet.ServiceName) int {
+	g, _ := s.groups.Get(service)
+	return g.healthy
+}
+
+// Slots returns the slots of all joined backend servers of a service.
+func (s State) Slots(service fleet.ServiceName) int {
+	g, _ := s.groups.Get(service)
+	return g.slots
+}
+
+// Verdict returns the outcome of a proposal by its operation identifier, as
+// long as it is among the last that are remembered.
+func (s State) Verdict(operation string) (*cowsliptallyv1.Verdict, bool) {
+	for _, verdict := range slices.Backward(s.verdicts) {
+		if verdict.GetOperation() == operation {
+			return verdict, true
+		}
+	}
+	return nil, false
+}
+
+// History returns up to limit of the last accepted changes, newest first; 0
+// returns all that are remembered.
+func (s State) History(limit int) []*cowsliptallyv1.Revision {
+	if limit <= 0 || limit > len(s.history) {
+		limit = len(s.history)
+	}
+	last := slices.Clone(s.history[len(s.history)-limit:])
+	slices.Reverse(last)
+	return last
+}
+
+func compareBackends(a, b fleet.Backend) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	if a.ID > b.ID {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/keeper/error.go
@@ -0,0 +1,33 @@
+package keeper
+
+import (
+	"fmt"
+
+	"cowsliptally.example/cowsliptally/fault"
+)
+
+// Kind is the class of a failed operation.
+type Kind string
+
+const (
+	// KindUnavailable means that the log cannot be used; nothing was changed.
+	KindUnavailable Kind = "unavailable"
+	// KindUnknown means that an append may or may not take effect.
+	KindUnknown Kind = "unknown"
+	// KindNotReady means that the node does not know the newest state yet.
+	KindNotReady Kind = "notready"
+	// KindInvalid means that the operation's input is wrong.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is a failed operation.
+type Error = fault.Error[Kind]
+
+// KindOf returns the kind of err, or "" when it is not of this package.
+func KindOf(err error) Kind {
+	return fault.KindOf[Kind](err)
+}
+
+func fail(operation string, kind Kind, format string, args ...any) error {
+	return &Error{Operation: operation, Kind: kind, Err: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/keeper/handle.go
@@ -0,0 +1,88 @@
+package keeper
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/folder"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/logclient"
+)
+
+// handle takes one record from the tail.
+func (k *Keeper) handle(_ context.Context, entry logclient.Entry) error {
+	k.mu.Lock()
+	var events []fleet.Event
+	if k.recovery != nil {
+		events = k.search(entry)
+	} else {
+		events = k.fold(entry.Offset, entry.Payload)
+	}
+	k.mu.Unlock()
+	k.record(events)
+	return nil
+}
+
+// fold folds one record unless it was folded before; the caller holds mu.
+func (k *Keeper) fold(offset uint64, payload []byte) []fleet.Event {
+	state := k.State()
+	if offset != state.NextOffset() {
+		return nil
+	}
+	next, events := state.ApplyPayload(offset, payload)
+	k.state.Store(&next)
+	k.recent.add(offset, payload)
+	k.broadcast()
+	return events
+}
+
+// search looks at one record for a checkpoint that bridges what expired; the
+// caller holds mu.
+func (k *Keeper) search(entry logclient.Entry) []fleet.Event {
+	k.recovery.at = entry.Offset + 1
+	record := &cowsliptallyv1.Record{}
+	if err := proto.Unmarshal(entry.Payload, record); err != nil || record.GetCheckpoint() == nil {
+		return nil
+	}
+	whole, done := k.recovery.assembler.Add(record.GetCheckpoint())
+	if !done || whole.GetNextOffset() < k.recovery.oldest {
+		return nil
+	}
+	state, err := folder.FromCheckpoint(whole)
+	if err != nil {
+		return []fleet.Event{fleet.NewEvent(fleet.EventSkipped, "checkpoint", err.Error())}
+	}
+	return k.adopt(state, "a checkpoint in the log")
+}
+
+// adopt replaces the state by a newer one; the caller holds mu. It never takes
+// an older offset or revision.
+func (k *Keeper) adopt(state folder.State, source string) []fleet.Event {
+	before := k.State()
+	if state.NextOffset() <= before.NextOffset() {
+		return nil
+	}
+	revision := state.Configuration().Revision()
+	if revision < before.Configuration().Revision() {
+		return []fleet.Event{fleet.NewEvent(fleet.EventSkipped, source, "it holds an older revision at a newer offset")}
+	}
+	k.state.Store(&state)
+	k.recent.clear()
+	if k.recovery != nil && state.NextOffset() >= k.recovery.oldest {
+		k.recovery = nil
+	}
+	k.broadcast()
+	if revision == before.Configuration().Revision() {
+		return nil
+	}
+	figure := fleet.Figure{Name: "revision", Value: float64(revision)}
+	return []fleet.Event{fleet.NewEvent(fleet.EventAccepted, "", "from "+source, figure)}
+}
+
+func (k *Keeper) record(events []fleet.Event) {
+	for _, event := range events {
+		k.recorder.Record(event)
+	}
+}
--- /dev/null
+++ b/keeper/option.go
@@ -0,0 +1,35 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Option changes a setting of a Keeper.
+type Option func(*Keeper)
+
+// WithClock replaces the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(k *Keeper) { k.clock = clock }
+}
+
+// WithPeers sets whom to ask while the log cannot be read.
+func WithPeers(peers Peers) Option {
+	return func(k *Keeper) { k.peers = peers }
+}
+
+// WithRecorder sets who takes the events.
+func WithRecorder(recorder Recorder) Option {
+	return func(k *Keeper) { k.recorder = recorder }
+}
+
+// WithTail replaces what delivers the records.
+func WithTail(tail Tail) Option {
+	return func(k *Keeper) { k.tail = tail }
+}
+
+// WithReadback bounds the wait for a record to be read back after its append.
+func WithReadback(limit time.Duration) Option {
+	return func(k *Keeper) { k.readback = limit }
+}
--- /dev/null
+++ b/logclient/doc.go
@@ -0,0 +1,9 @@
+// Package logclient reads and appends records of the platform's log service
+// over HTTP.
+//
+//	client := logclient.New("127.0.0.1:7070", logclient.WithTimeout(2*time.Second))
+//	offset, err := client.Append(ctx, "fleet", payload)
+//	batch, err := client.Read(ctx, "fleet", from, 10*time.Second)
+//
+// Another log service needs one more type with these two methods.
+package logclient
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,126 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+// Operator answers OperatorService at one node.
+type Operator struct {
+	self   fleet.NodeID
+	keeper Keeper
+	fleet  Fleet
+	clock  clockwork.Clock
+}
+
+// New returns the operators' service of the node self.
+func New(self fleet.NodeID, keeper Keeper, others Fleet, options ...Option) *Operator {
+	o := &Operator{self: self, keeper: keeper, fleet: others, clock: clockwork.NewRealClock()}
+	for _, option := range options {
+		option(o)
+	}
+	return o
+}
+
+// Propose changes the configuration, or judges the change in a dry run. A
+// refused change comes back as a verdict; an error with CodeUnavailable changed
+// nothing, one with CodeUnknown names the operation to ask for later.
+func (o *Operator) Propose(ctx context.Context, r *connect.Request[cowsliptallyv1.ProposeRequest]) (*connect.Response[cowsliptallyv1.ProposeResponse], error) {
+	if r.Msg.GetProposal() == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the request has no proposal"))
+	}
+	proposal, ok := proto.Clone(r.Msg.GetProposal()).(*cowsliptallyv1.Proposal)
+	if !ok {
+		return nil, connect.NewError(connect.CodeInternal, errors.New("the proposal cannot be copied"))
+	}
+	if err := o.complete(proposal); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	if r.Msg.GetDryRun() {
+		verdict, _ := o.keeper.State().Judge(proposal)
+		return connect.NewResponse(&cowsliptallyv1.ProposeResponse{Verdict: verdict}), nil
+	}
+	verdict, err := o.keeper.Propose(ctx, proposal)
+	if err != nil {
+		return nil, failed(proposal.GetOperation(), err)
+	}
+	return connect.NewResponse(&cowsliptallyv1.ProposeResponse{Verdict: verdict}), nil
+}
+
+// complete fills in what the caller left out.
+func (o *Operator) complete(p *cowsliptallyv1.Proposal) error {
+	if p.GetOperation() == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return err
+		}
+		p.Operation = id.String()
+	}
+	if p.GetTimeUnixNano() == 0 {
+		p.TimeUnixNano = o.clock.Now().UnixNano()
+	}
+	return nil
+}
+
+// GetOperation tells the outcome of an earlier proposal.
+func (o *Operator) GetOperation(ctx context.Context, r *connect.Request[cowsliptallyv1.GetOperationRequest]) (*connect.Response[cowsliptallyv1.GetOperationResponse], error) {
+	id := r.Msg.GetOperation()
+	verdict, found, err := o.keeper.Lookup(ctx, id)
+	if err != nil {
+		return nil, failed(id, err)
+	}
+	if !found {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("operation %q is not in the log; proposing it again under the same identifier is safe", id))
+	}
+	return connect.NewResponse(&cowsliptallyv1.GetOperationResponse{Verdict: verdict}), nil
+}
+
+// GetConfiguration returns the configuration in force at this node.
+func (o *Operator) GetConfiguration(context.Context, *connect.Request[cowsliptallyv1.GetConfigurationRequest]) (*connect.Response[cowsliptallyv1.GetConfigurationResponse], error) {
+	if !o.keeper.Ready() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this node does not know the newest configuration yet"))
+	}
+	message := translator.ConfigurationToMessage(o.keeper.State().Configuration())
+	return connect.NewResponse(&cowsliptallyv1.GetConfigurationResponse{Configuration: message}), nil
+}
+
+// GetInForce tells which nodes do not have a revision in force; revision 0 asks
+// for the one of this node.
+func (o *Operator) GetInForce(ctx context.Context, r *connect.Request[cowsliptallyv1.GetInForceRequest]) (*connect.Response[cowsliptallyv1.GetInForceResponse], error) {
+	own := uint64(o.keeper.State().Configuration().Revision())
+	wanted := r.Msg.GetRevision()
+	if wanted == 0 {
+		wanted = own
+	}
+	nodes := o.fleet.Revisions(ctx)
+	nodes = append(nodes, &cowsliptallyv1.NodeRevision{Node: string(o.self), Revision: own})
+	answer := &cowsliptallyv1.GetInForceResponse{Nodes: uint32(len(nodes))}
+	for _, node := range nodes {
+		if node.GetError() != "" || node.GetRevision() < wanted {
+			answer.Behind = append(answer.Behind, node)
+		}
+	}
+	slices.SortFunc(answer.Behind, func(a, b *cowsliptallyv1.NodeRevision) int {
+		return strings.Compare(a.GetNode(), b.GetNode())
+	})
+	answer.Everywhere = len(answer.Behind) == 0
+	return connect.NewResponse(answer), nil
+}
+
+// GetHistory lists accepted changes, newest first.
+func (o *Operator) GetHistory(_ context.Context, r *connect.Request[cowsliptallyv1.GetHistoryRequest]) (*connect.Response[cowsliptallyv1.GetHistoryResponse], error) {
+	revisions := o.keeper.State().History(int(r.Msg.GetLimit()))
+	return connect.NewResponse(&cowsliptallyv1.GetHistoryResponse{Revisions: revisions}), nil
+}
--- /dev/null
+++ b/standin/logservice/main.go
@@ -0,0 +1,37 @@
+// Command logservice is a stand-in for the platform's append-only log service.
+package main
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"cowsliptally.example/cowsliptally/standin/logservice/server"
+)
+
+// headerTimeout bounds the wait for a call's headers.
+const headerTimeout = 10 * time.Second
+
+type settings struct {
+	Listen string `default:"127.0.0.1:7070" env:"LOGSERVICE_LISTEN" help:"IP and port to listen on."`
+	Retain int    `default:"0" env:"LOGSERVICE_RETAIN" help:"Records to keep in a stream; 0 keeps all."`
+	Slow   int    `default:"0" env:"LOGSERVICE_SLOW" help:"Delay of every answer in milliseconds."`
+}
+
+func main() {
+	var set settings
+	kong.Parse(&set, kong.Name("logservice"), kong.Description("Stand-in for the platform's log service."))
+	faults := server.Faults{Retain: set.Retain, Slow: set.Slow}
+	listener := &http.Server{
+		Addr:              set.Listen,
+		Handler:           server.New(server.WithFaults(faults)),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	log.SetFormatter(log.LogfmtFormatter)
+	log.Info("listening", "address", set.Listen)
+	if err := listener.ListenAndServe(); err != nil {
+		log.Fatal("stopped", "error", err)
+	}
+}
--- /dev/null
+++ b/standin/logservice/server/server.go
@@ -0,0 +1,212 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/logclient"
+)
+
+const (
+	// maxRecordBytes bounds one record.
+	maxRecordBytes = 4 << 20
+	// defaultLimit is the number of records of one read without max.
+	defaultLimit = 1000
+)
+
+// Server is a log service in memory. It is safe for concurrent use.
+type Server struct {
+	clock   clockwork.Clock
+	handler http.Handler
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	stats   Stats
+}
+
+// New returns a log service without records and faults.
+func New(options ...Option) *Server {
+	s := &Server{clock: clockwork.NewRealClock(), streams: make(map[string]*stream)}
+	for _, option := range options {
+		option(s)
+	}
+	router := chi.NewRouter()
+	router.Post("/streams/{stream}", s.serveAppend)
+	router.Get("/streams/{stream}", s.serveRead)
+	router.Post("/faults", s.serveFaults)
+	router.Get("/stats", s.serveStats)
+	s.handler = router
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.handler.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	for _, stream := range s.streams {
+		stream.retain(faults.Retain)
+	}
+}
+
+// Stats returns what the log service did.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// Records returns the kept records of a stream.
+func (s *Server) Records(name string) []logclient.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]logclient.Entry(nil), s.stream(name).entries...)
+}
+
+func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, fmt.Sprintf("record: %v", err), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, lost := s.append(chi.URLParam(r, "stream"), payload)
+	if lost {
+		<-r.Context().Done()
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]uint64{"offset": offset})
+}
+
+func (s *Server) append(name string, payload []byte) (offset uint64, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := s.stream(name)
+	offset = stream.append(payload)
+	stream.retain(s.faults.Retain)
+	s.stats.Appends++
+	s.stats.Bytes += uint64(len(payload))
+	if s.faults.Lose > 0 {
+		s.faults.Lose--
+		return offset, true
+	}
+	return offset, false
+}
+
+func (s *Server) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("from %q is not an offset", r.URL.Query().Get("from")), http.StatusBadRequest)
+		return
+	}
+	wait := time.Duration(number(r, "wait", 0)) * time.Millisecond
+	ctx, cancel := clockwork.WithTimeout(r.Context(), s.clock, wait)
+	defer cancel()
+	batch := s.await(ctx, chi.URLParam(r, "stream"), from, number(r, "max", defaultLimit))
+	if r.Context().Err() != nil {
+		return
+	}
+	status := http.StatusOK
+	if from < batch.Oldest {
+		status = http.StatusGone
+	}
+	writeJSON(w, status, batch)
+}
+
+// await returns a batch once it holds a record, from has expired or ctx is done.
+func (s *Server) await(ctx context.Context, name string, from uint64, limit int) logclient.Batch {
+	for {
+		s.mu.Lock()
+		s.stats.Reads++
+		stream := s.stream(name)
+		batch := stream.read(from, limit)
+		grown := stream.grown
+		s.mu.Unlock()
+		if len(batch.Entries) > 0 || from < batch.Oldest {
+			return batch
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return batch
+		}
+	}
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, fmt.Sprintf("faults: %v", err), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	writeJSON(w, http.StatusOK, faults)
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Stats())
+}
+
+// admit applies the faults that stop or delay a call.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Hang {
+		<-r.Context().Done()
+		return false
+	}
+	if faults.Down {
+		http.Error(w, "the log service is down", http.StatusServiceUnavailable)
+		return false
+	}
+	if faults.Slow > 0 {
+		s.clock.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+	}
+	return true
+}
+
+// stream returns a stream by name; the caller holds mu.
+func (s *Server) stream(name string) *stream {
+	found := s.streams[name]
+	if found == nil {
+		found = newStream()
+		s.streams[name] = found
+	}
+	return found
+}
+
+func number(r *http.Request, name string, otherwise int) int {
+	value, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil {
+		return otherwise
+	}
+	return value
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller is gone when this fails; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/logservice/server/stats.go
@@ -0,0 +1,9 @@
+package server
+
+// Stats counts what the log service did.
+type Stats struct {
+	Appends uint64 `json:"appends"`
+	Reads   uint64 `json:"reads"`
+	// Bytes counts the payload bytes that were appended.
+	Bytes uint64 `json:"bytes"`
+}
--- /dev/null
+++ b/tailer/tailer.go
@@ -0,0 +1,109 @@
+package tailer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/logclient"
+)
+
+const (
+	defaultWait         = 5 * time.Second
+	defaultFirstPause   = 100 * time.Millisecond
+	defaultLongestPause = 2 * time.Second
+)
+
+// Tailer delivers the records of one log.
+type Tailer struct {
+	log          Log
+	clock        clockwork.Clock
+	wait         time.Duration
+	firstPause   time.Duration
+	longestPause time.Duration
+}
+
+// New returns a tailer of a log.
+func New(log Log, options ...Option) *Tailer {
+	t := &Tailer{
+		log:          log,
+		clock:        clockwork.NewRealClock(),
+		wait:         defaultWait,
+		firstPause:   defaultFirstPause,
+		longestPause: defaultLongestPause,
+	}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// Run delivers the records of a stream, from where position says, until ctx is done.
+func (t *Tailer) Run(ctx context.Context, stream string, position Position, handle Handler) error {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = t.firstPause
+	pauses.MaxInterval = t.longestPause
+	for ctx.Err() == nil {
+		wait := time.Duration(0)
+		if position.Began() {
+			wait = t.wait
+		}
+		batch, err := t.log.Read(ctx, stream, position.Next(), wait)
+		if ctx.Err() != nil {
+			break
+		}
+		if logclient.KindOf(err) == logclient.KindExpired {
+			position.Expired(batch.Oldest, batch.Next)
+			t.pause(ctx, t.firstPause)
+			continue
+		}
+		if err != nil {
+			position.Failed(err)
+			t.pause(ctx, pauses.NextBackOff())
+			continue
+		}
+		pauses.Reset()
+		if t.deliver(ctx, batch, position, handle) {
+			position.Reached(batch.Oldest, batch.Next)
+		}
+		if wait == 0 && len(batch.Entries) == 0 {
+			t.pause(ctx, t.firstPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// deliver hands over the records of a batch; it stops early, with false, when
+// the position went backwards meanwhile or ctx is done.
+func (t *Tailer) deliver(ctx context.Context, batch logclient.Batch, position Position, handle Handler) bool {
+	for _, entry := range batch.Entries {
+		next := position.Next()
+		if next > entry.Offset {
+			continue
+		}
+		if next < entry.Offset || !t.deliverEntry(ctx, entry, handle) {
+			return false
+		}
+	}
+	return true
+}
+
+// deliverEntry hands over one record until it is taken.
+func (t *Tailer) deliverEntry(ctx context.Context, entry logclient.Entry, handle Handler) bool {
+	for ctx.Err() == nil {
+		if handle(ctx, entry) == nil {
+			return true
+		}
+		t.pause(ctx, t.firstPause)
+	}
+	return false
+}
+
+func (t *Tailer) pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-t.clock.After(length):
+	case <-ctx.Done():
+	}
+}
