--- /dev/null
+++ b/checkpointer/option.go
@@ -0,0 +1,31 @@
+package checkpointer
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Option changes a setting of a Checkpointer.
+type Option func(*Checkpointer)
+
+// WithClock replaces the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(c *Checkpointer) { c.clock = clock }
+}
+
+// WithInterval sets the longest time between checkpoints; it must be well below
+// the log service's retention time.
+func WithInterval(interval time.Duration) Option {
+	return func(c *Checkpointer) { c.interval = interval }
+}
+
+// WithRecords sets the most records between checkpoints.
+func WithRecords(records uint64) Option {
+	return func(c *Checkpointer) { c.records = records }
+}
+
+// WithPartBytes bounds the size of one record of a checkpoint.
+func WithPartBytes(bytes int) Option {
+	return func(c *Checkpointer) { c.partBytes = bytes }
+}
--- a/folder/apply.go
+++ b/folder/apply.go
@@ -68,7 +68,8 @@
 	if c.GetNextOffset() > offset {
 		return s.skip(offset, "a checkpoint covers records that come after it")
 	}
-	if c.GetPart() == c.GetParts() {
+	s.partial = s.partial.with(c)
+	if s.partial.complete() {
 		s.checkpointed = max(s.checkpointed, c.GetNextOffset())
 	}
 	return s, nil
--- a/folder/state.go
+++ b/folder/state.go
@@ -1,6 +1,7 @@
 package folder
 
 import (
+	"iter"
 	"slices"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -21,9 +22,11 @@
 	configuration fleet.Configuration
 	nextOffset    uint64
 	checkpointed  uint64
-	backends      indexer.Index[fleet.BackendID, fleet.Backend]
-	groups        indexer.Index[fleet.ServiceName, group]
-	ejections     indexer.Index[fleet.BackendID, ejection]
+	// partial is the checkpoint whose parts are coming in.
+	partial   partial
+	backends  indexer.Index[fleet.BackendID, fleet.Backend]
+	groups    indexer.Index[fleet.ServiceName, group]
+	ejections indexer.Index[fleet.BackendID, ejection]
 	// verdicts and history are copied before they are changed.
 	verdicts []*cowsliptallyv1.Verdict
 	history  []*cowsliptallyv1.Revision
@@ -60,6 +63,9 @@
 	return slices.SortedFunc(s.backends.All(), compareBackends)
 }
 
+// EachJoined yields all joined backend servers in no particular order.
+func (s State) EachJoined() iter.Seq[fleet.Backend] { return s.backends.All() }
+
 // Ejected returns the accepted ejection of a backend server.
 func (s State) Ejected(id fleet.BackendID) (*cowsliptallyv1.Ejection, bool) {
 	found, ok := s.ejections.Get(id)
--- a/standin/logservice/server/server.go
+++ b/standin/logservice/server/server.go
@@ -61,9 +61,17 @@
 	s.faults = faults
 	for _, stream := range s.streams {
 		stream.retain(faults.Retain)
+		stream.wake()
 	}
 }
 
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Stats returns what the log service did.
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
@@ -122,7 +130,11 @@
 	wait := time.Duration(number(r, "wait", 0)) * time.Millisecond
 	ctx, cancel := clockwork.WithTimeout(r.Context(), s.clock, wait)
 	defer cancel()
-	batch := s.await(ctx, chi.URLParam(r, "stream"), from, number(r, "max", defaultLimit))
+	batch, err := s.await(ctx, chi.URLParam(r, "stream"), from, number(r, "max", defaultLimit))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	if r.Context().Err() != nil {
 		return
 	}
@@ -133,26 +145,39 @@
 	writeJSON(w, status, batch)
 }
 
-// await returns a batch once it holds a record, from has expired or ctx is done.
-func (s *Server) await(ctx context.Context, name string, from uint64, limit int) logclient.Batch {
+// await returns a batch once it holds a record, from has expired or ctx is
+// done; it fails when the log service goes down meanwhile.
+func (s *Server) await(ctx context.Context, name string, from uint64, limit int) (logclient.Batch, error) {
 	for {
 		s.mu.Lock()
 		s.stats.Reads++
 		stream := s.stream(name)
 		batch := stream.read(from, limit)
 		grown := stream.grown
+		down := s.faults.Down
 		s.mu.Unlock()
+		if down {
+			return logclient.Batch{}, errDown
+		}
 		if len(batch.Entries) > 0 || from < batch.Oldest {
-			return batch
+			return batch, nil
 		}
 		select {
 		case <-grown:
 		case <-ctx.Done():
-			return batch
+			return batch, nil
 		}
 	}
 }
 
+// sleep waits for a time or until ctx is done.
+func (s *Server) sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-s.clock.After(length):
+	case <-ctx.Done():
+	}
+}
+
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
@@ -169,19 +194,17 @@
 
 // admit applies the faults that stop or delay a call.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
-	s.mu.Lock()
-	faults := s.faults
-	s.mu.Unlock()
+	faults := s.Faults()
 	if faults.Hang {
 		<-r.Context().Done()
 		return false
 	}
 	if faults.Down {
-		http.Error(w, "the log service is down", http.StatusServiceUnavailable)
+		http.Error(w, errDown.Error(), http.StatusServiceUnavailable)
 		return false
 	}
 	if faults.Slow > 0 {
-		s.clock.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+		s.sleep(r.Context(), time.Duration(faults.Slow)*time.Millisecond)
 	}
 	return true
 }
--- a/standin/logservice/server/stream.go
+++ b/standin/logservice/server/stream.go
@@ -21,9 +21,14 @@
 func (s *stream) append(payload []byte) uint64 {
 	offset := s.next()
 	s.entries = append(s.entries, logclient.Entry{Offset: offset, Payload: payload})
+	s.wake()
+	return offset
+}
+
+// wake wakes all readers that wait.
+func (s *stream) wake() {
 	close(s.grown)
 	s.grown = make(chan struct{})
-	return offset
 }
 
 // retain drops all but the last records; 0 keeps all.
