Check the keeper in virtual time: races, lost answers, outages, pauses, retention

Cause: acceptance and catching up must hold under every fault of the log at once. Ruled out: real processes and sleeps; the fleet runs on a stand-in in one synctest bubble. After: the first read after a failure does not wait; such a log is not written to; the watch is marked before the duties start. 12 seeds of 4 operators are linearizable as a compare-and-set register, with lost answers as unknown operations.

--- /dev/null
+++ b/keeper/fleet_test.go
@@ -0,0 +1,180 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/standin/logservice/server"
+)
+
+// jumpClock is the real clock, in virtual time, that can jump as after a pause.
+type jumpClock struct {
+	clockwork.Clock
+	ahead atomic.Int64
+}
+
+func (c *jumpClock) Now() time.Time {
+	return c.Clock.Now().Add(time.Duration(c.ahead.Load()))
+}
+
+func (c *jumpClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// node is one keeper with its own way to the log.
+type node struct {
+	*keeper.Keeper
+	name  string
+	port  *server.Port
+	clock *jumpClock
+	stop  func()
+	// alone cuts it off from its peers.
+	alone atomic.Bool
+	mu    sync.Mutex
+	kinds map[fleet.EventKind]int
+}
+
+func (n *node) Record(e fleet.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.kinds[e.Kind]++
+}
+
+func (n *node) count(kind fleet.EventKind) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.kinds[kind]
+}
+
+// nodes is a fleet over one log service.
+type nodes struct {
+	t    *testing.T
+	logs *server.Server
+	// readback is how long the nodes wait for an append to come back.
+	readback time.Duration
+	mu       sync.Mutex
+	all      []*node
+}
+
+// start adds a node that asks every other node as a peer.
+func (f *nodes) start(name string) *node {
+	n := &node{name: name, port: server.NewPort(f.logs), clock: &jumpClock{Clock: clockwork.NewRealClock()}, kinds: map[fleet.EventKind]int{}}
+	n.Keeper = keeper.New(n.port, keeper.WithPeers(peers{f, n}), keeper.WithClock(n.clock), keeper.WithRecorder(n), keeper.WithReadback(f.readback))
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	n.stop = func() {
+		cancel()
+		<-done
+		f.remove(n)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, n)
+	return n
+}
+
+func (f *nodes) remove(gone *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var left []*node
+	for _, n := range f.all {
+		if n != gone {
+			left = append(left, n)
+		}
+	}
+	f.all = left
+}
+
+func (f *nodes) list() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*node(nil), f.all...)
+}
+
+type peers struct {
+	nodes *nodes
+	self  *node
+}
+
+func (p peers) FetchStates(ctx context.Context, known uint64) (int, []*cowsliptallyv1.FetchStateResponse) {
+	const fanout = 3
+	all := p.nodes.list()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	asked, answers := 0, []*cowsliptallyv1.FetchStateResponse(nil)
+	for _, n := range all {
+		if n == p.self || asked == fanout {
+			continue
+		}
+		asked++
+		request := connect.NewRequest(&cowsliptallyv1.FetchStateRequest{KnownOffset: known})
+		response, err := n.FetchState(ctx, request)
+		if err != nil || n.alone.Load() || p.self.alone.Load() {
+			continue
+		}
+		answers = append(answers, response.Msg)
+	}
+	return asked, answers
+}
+
+// readback is the usual wait for an append to come back.
+const readback = 10 * time.Second
+
+// inBubble runs a test of a fleet of count nodes in virtual time.
+func inBubble(t *testing.T, count int, test func(t *testing.T, f *nodes)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &nodes{t: t, logs: server.New(), readback: readback}
+		for i := range count {
+			f.start(fmt.Sprintf("n%d", i))
+		}
+		time.Sleep(time.Second)
+		test(t, f)
+		for _, n := range f.list() {
+			n.stop()
+		}
+	})
+}
+
+func floorProposal(operation string, base uint64, floor uint32) *cowsliptallyv1.Proposal {
+	put := &cowsliptallyv1.Service{Name: "ledger", MinHealthySlots: floor}
+	change := &cowsliptallyv1.Change{Edit: &cowsliptallyv1.Change_PutService{PutService: put}}
+	return &cowsliptallyv1.Proposal{Operation: operation, BaseRevision: base, Author: "a", Changes: []*cowsliptallyv1.Change{change}}
+}
+
+// accept proposes on the current revision at one node until it is accepted.
+func accept(t *testing.T, n *node, operation string) uint64 {
+	t.Helper()
+	verdict, err := n.Propose(t.Context(), floorProposal(operation, revision(n), 1))
+	if err != nil || verdict.GetRevision() == 0 {
+		t.Fatalf("operation %s at %s: verdict %v, error %v", operation, n.name, verdict, err)
+	}
+	return verdict.GetRevision()
+}
+
+func revision(n *node) uint64 { return uint64(n.Configuration().Revision()) }
+
+// within waits until the condition holds, at most for limit of virtual time.
+func within(t *testing.T, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !condition() {
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -45,6 +45,8 @@
 	// read under way began: an answer from before a pause proves nothing.
 	pauses       int
 	pausesAtRead int
+	// offsetAtRead is the state's offset when the read under way began.
+	offsetAtRead uint64
 	recovery     *recovery
 	// window is what the log service keeps.
 	window Window
@@ -125,6 +127,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	k.watch.mark()
 	var duties sync.WaitGroup
 	duties.Go(func() { k.runWatch(ctx) })
 	duties.Go(func() { k.runPeers(ctx) })
--- /dev/null
+++ b/keeper/older_test.go
@@ -0,0 +1,120 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/standin/logservice/server"
+	"cowsliptally.example/cowsliptally/tailer"
+)
+
+// forgedPeers answer with one state once they are armed.
+type forgedPeers struct {
+	state *cowsliptallyv1.Checkpoint
+	armed atomic.Bool
+}
+
+func (p *forgedPeers) FetchStates(context.Context, uint64) (int, []*cowsliptallyv1.FetchStateResponse) {
+	if !p.armed.Load() {
+		return 0, nil
+	}
+	// The entry does not follow the state, so it must not be folded either.
+	gap := &cowsliptallyv1.Entry{Offset: 500, Payload: []byte("beyond a gap")}
+	return 1, []*cowsliptallyv1.FetchStateResponse{{State: p.state, Entries: []*cowsliptallyv1.Entry{gap}}}
+}
+
+// withForgery runs a keeper at revision 2 beside a peer whose state has a newer
+// offset and the given revision.
+func withForgery(t *testing.T, revision uint64, test func(k *keeper.Keeper)) {
+	inBubble(t, 1, func(t *testing.T, f *nodes) {
+		accept(t, f.list()[0], "first")
+		accept(t, f.list()[0], "second")
+		forged := proto.Clone(f.list()[0].State().Checkpoint()).(*cowsliptallyv1.Checkpoint)
+		forged.NextOffset, forged.Configuration.Revision = 100, revision
+		peers := &forgedPeers{state: forged}
+		k := keeper.New(server.NewPort(f.logs), keeper.WithPeers(peers))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- k.Run(ctx) }()
+		within(t, time.Minute, "the log was read", k.Ready)
+		peers.armed.Store(true)
+		k.Notice(200)
+		time.Sleep(time.Minute)
+		if next := k.State().NextOffset(); next > 100 {
+			t.Fatalf("folded up to offset %d over a gap", next)
+		}
+		test(k)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestOlderRevisionIsNeverTaken(t *testing.T) {
+	withForgery(t, 1, func(k *keeper.Keeper) {
+		if got := k.Configuration().Revision(); got != 2 {
+			t.Fatalf("revision %d, want 2", got)
+		}
+	})
+}
+
+func TestLogThatLacksFoldedRecordsIsNotWrittenTo(t *testing.T) {
+	withForgery(t, 3, func(k *keeper.Keeper) {
+		if k.Configuration().Revision() != 3 || k.Status() != keeper.StatusDown {
+			t.Fatalf("revision %d, status %s, want 3, %s", k.Configuration().Revision(), k.Status(), keeper.StatusDown)
+		}
+		_, err := k.Propose(t.Context(), floorProposal("x", 3, 1))
+		if keeper.KindOf(err) != keeper.KindUnavailable {
+			t.Fatalf("error %v, want unavailable", err)
+		}
+	})
+}
+
+// manualTail hands the position to the test.
+type manualTail chan tailer.Position
+
+func (m manualTail) Run(ctx context.Context, _ string, position tailer.Position, _ tailer.Handler) error {
+	m <- position
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func TestAnswerFromBeforeThePauseProvesNothing(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, f *nodes) {
+		tail, clock := make(manualTail), &jumpClock{Clock: f.start("a").clock.Clock}
+		k := keeper.New(server.NewPort(f.logs), keeper.WithTail(tail), keeper.WithClock(clock))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- k.Run(ctx) }()
+		position := <-tail
+		position.Began()
+		position.Reached(0, 0)
+		if !k.Ready() {
+			t.Fatal("not ready after the log was read")
+		}
+		position.Began()
+		clock.ahead.Add(int64(time.Hour))
+		time.Sleep(time.Second)
+		position.Reached(0, 0)
+		if k.Ready() {
+			t.Fatal("ready by an answer from before the pause")
+		}
+		position.Began()
+		position.Reached(0, 0)
+		if !k.Ready() {
+			t.Fatal("not ready after a read that began after the pause")
+		}
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/keeper/pause.go
+++ b/keeper/pause.go
@@ -14,7 +14,6 @@
 // runWatch marks ticks and doubts the state after each pause.
 func (k *Keeper) runWatch(ctx context.Context) {
 	var doubted time.Time
-	k.watch.mark()
 	for {
 		select {
 		case <-k.clock.After(tick):
--- a/keeper/position.go
+++ b/keeper/position.go
@@ -20,20 +20,27 @@
 	return k.State().NextOffset()
 }
 
-// Began notes that a read begins; it may wait unless the state has to be
-// compared with the log's end first.
+// Began notes that a read begins; it may wait unless the log was down or the
+// state has to be compared with the log's end first.
 func (p *position) Began() (wait bool) {
 	k := (*Keeper)(p)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.pausesAtRead = k.pauses
-	return k.current || k.recovery != nil
+	k.offsetAtRead = k.State().NextOffset()
+	return k.recovery != nil || (k.current && k.status == StatusUp)
 }
 
-// Reached tells that the log was read.
+// Reached tells that the log was read. A log that ends before what was folded
+// already is not the fleet's log, or has lost records.
 func (p *position) Reached(oldest, next uint64) {
 	k := (*Keeper)(p)
 	k.mu.Lock()
+	if folded := k.offsetAtRead; next < folded {
+		k.mu.Unlock()
+		p.Failed(fmt.Errorf("the log ends at offset %d, this node has folded it up to offset %d", next, folded))
+		return
+	}
 	k.window = Window{Oldest: oldest, Next: next}
 	before := k.status
 	if k.recovery == nil {
--- /dev/null
+++ b/keeper/race_test.go
@@ -0,0 +1,176 @@
+package keeper_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/standin/logservice/server"
+)
+
+type kind string
+
+const (
+	accepted kind = "accepted"
+	refused  kind = "refused"
+	nothing  kind = "nothing"
+	unknown  kind = "unknown"
+	read     kind = "read"
+)
+
+// call is one operator's call; base is math.MaxUint64 for a read.
+type call struct{ base uint64 }
+
+type result struct {
+	kind     kind
+	revision uint64
+}
+
+// register is a compare-and-set register of the current revision.
+func register() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{uint64(0)} },
+		Step: func(state, input, output any) []any {
+			current, in, out := state.(uint64), input.(call), output.(result)
+			same, next := []any{current}, []any{current + 1}
+			switch {
+			case out.kind == read && out.revision == current,
+				out.kind == refused && in.base != current,
+				out.kind == nothing:
+				return same
+			case out.kind == accepted && in.base == current && out.revision == current+1:
+				return next
+			case out.kind == unknown && in.base == current:
+				return []any{current, current + 1}
+			case out.kind == unknown:
+				return same
+			}
+			return nil
+		},
+	}
+	return model.ToModel()
+}
+
+// operate is one operator's script: it reads the newest revision and changes it.
+func operate(t *testing.T, n *node, client int, random *rand.Rand, note func(porcupine.Operation)) {
+	for step := range 20 {
+		base := revision(n)
+		if random.IntN(8) == 0 {
+			base++
+		}
+		begin := time.Now().UnixNano()
+		operation := porcupine.Operation{ClientId: client, Input: call{base: base}, Call: begin}
+		id := fmt.Sprintf("c%d-%d", client, step)
+		verdict, err := n.Propose(t.Context(), floorProposal(id, base, uint32(step)))
+		operation.Return = time.Now().UnixNano()
+		switch {
+		case err == nil && verdict.GetRefusal() == "":
+			operation.Output = result{kind: accepted, revision: verdict.GetRevision()}
+		case err == nil:
+			operation.Output = result{kind: refused}
+		case keeper.KindOf(err) == keeper.KindUnknown:
+			operation.Output, operation.Return = result{kind: unknown}, math.MaxInt64
+		default:
+			operation.Output = result{kind: nothing}
+		}
+		note(operation)
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		begin = time.Now().UnixNano()
+		if n.Sync(t.Context()) == nil {
+			note(porcupine.Operation{ClientId: client, Input: call{base: math.MaxUint64}, Call: begin, Output: result{kind: read, revision: revision(n)}, Return: time.Now().UnixNano()})
+		}
+	}
+}
+
+func TestRacingOperatorsActOnOneRegister(t *testing.T) {
+	for seed := range uint64(12) {
+		inBubble(t, 4, func(t *testing.T, f *nodes) {
+			for _, n := range f.list() {
+				n.stop()
+			}
+			f.readback = 400 * time.Millisecond
+			for i := range 4 {
+				f.start(fmt.Sprint("impatient", i))
+			}
+			time.Sleep(time.Second)
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			note := func(o porcupine.Operation) {
+				mu.Lock()
+				defer mu.Unlock()
+				history = append(history, o)
+			}
+			var operators sync.WaitGroup
+			for i, n := range f.list() {
+				operators.Go(func() { operate(t, n, i, rand.New(rand.NewPCG(seed, uint64(i))), note) })
+			}
+			random := rand.New(rand.NewPCG(seed, math.MaxUint64))
+			for range 40 {
+				n := f.list()[random.IntN(4)]
+				n.port.Lose(random.IntN(2))
+				n.port.Cut(random.IntN(6) == 0)
+				f.logs.SetFaults(server.Faults{Down: random.IntN(20) == 0, Slow: random.IntN(300)})
+				time.Sleep(300 * time.Millisecond)
+				n.port.Cut(false)
+			}
+			for _, n := range f.list() {
+				n.port.Cut(false)
+			}
+			f.logs.SetFaults(server.Faults{})
+			operators.Wait()
+			counts := map[kind]int{}
+			for _, o := range history {
+				counts[o.Output.(result).kind]++
+			}
+			t.Logf("seed %d: %v", seed, counts)
+			if !porcupine.CheckOperations(register(), history) {
+				t.Fatalf("seed %d: the history is not that of one register", seed)
+			}
+		})
+	}
+}
+
+func TestLostAnswerIsReadBackAndAppliedOnce(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *nodes) {
+		a, b := f.list()[0], f.list()[1]
+		a.port.Lose(1)
+		if got := accept(t, a, "lost"); got != 1 {
+			t.Fatalf("revision %d, want 1", got)
+		}
+		verdict, err := b.Propose(t.Context(), floorProposal("lost", 0, 1))
+		if err != nil || verdict.GetRevision() != 1 {
+			t.Fatalf("repeat: verdict %v, error %v, want revision 1", verdict, err)
+		}
+		if appends := f.logs.Stats().Appends; appends != 1 {
+			t.Fatalf("%d appends, want 1", appends)
+		}
+	})
+}
+
+func TestUnknownOutcomeIsLookedUpByItsIdentifier(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *nodes) {
+		a, b := f.list()[0], f.list()[1]
+		a.alone.Store(true)
+		f.logs.SetFaults(server.Faults{Slow: 800, Lose: 1})
+		go func() {
+			// After the append was sent and before it is read back.
+			time.Sleep(100 * time.Millisecond)
+			a.port.Cut(true)
+		}()
+		_, err := a.Propose(t.Context(), floorProposal("x", 0, 1))
+		if keeper.KindOf(err) != keeper.KindUnknown {
+			t.Fatalf("error %v, want one of kind %s", err, keeper.KindUnknown)
+		}
+		f.logs.SetFaults(server.Faults{})
+		verdict, found, err := b.Lookup(t.Context(), "x")
+		if err != nil || !found || verdict.GetRevision() != 1 {
+			t.Fatalf("lookup: verdict %v, found %t, error %v", verdict, found, err)
+		}
+	})
+}
