--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,114 @@
+// Package settings holds and checks what a node is told at its start.
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+const (
+	minMemoryBytes = 1 << 20
+	maxMemoryBytes = 64 << 30
+)
+
+var wordPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Node is the settings of one node. Each field is a flag and an environment
+// variable, such as --caller-address and COWSLIPTALLY_CALLER_ADDRESS.
+type Node struct {
+	Name          string        `help:"Name in logs and events; each start adds a random suffix." default:"node"`
+	CallerAddress string        `help:"Address that callers send requests to." required:"" placeholder:"IP:PORT"`
+	PeerAddress   string        `help:"Address for other nodes, for backend servers of this VM and for operators." required:"" placeholder:"IP:PORT"`
+	Zone          string        `help:"Availability zone of this VM." required:""`
+	Region        string        `help:"Region of this VM." default:"local"`
+	Peers         []string      `help:"Peer addresses of some other nodes, separated by commas; one that answers is enough." placeholder:"IP:PORT"`
+	Log           string        `help:"Base address of the platform's log service." required:"" placeholder:"URL"`
+	LogLevel      string        `help:"Least severe log lines that are written: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	Timeout       time.Duration `help:"Time limit of requests that name none." default:"10s"`
+	MaxBody       int64         `help:"Largest request body, in bytes; a larger one is refused with 413." default:"8388608"`
+	MaxAnswer     int64         `help:"Largest answer that is held until it is whole, in bytes; a larger one is streamed." default:"4194304"`
+	Memory        int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
+	Shutdown      time.Duration `help:"Longest wait for requests in flight after SIGTERM." default:"30s"`
+}
+
+// Check returns the first wrong setting as an *Error.
+func (n Node) Check() error {
+	checks := []func() error{
+		func() error { return checkWord("--name", n.Name) },
+		func() error { return checkAddress("--caller-address", n.CallerAddress) },
+		func() error { return checkAddress("--peer-address", n.PeerAddress) },
+		func() error { return checkWord("--zone", n.Zone) },
+		func() error { return checkWord("--region", n.Region) },
+		n.checkPeers,
+		n.checkLog,
+		func() error { return checkPositive("--timeout", n.Timeout) },
+		func() error { return checkBytes("--max-body", n.MaxBody, 1) },
+		func() error { return checkBytes("--max-answer", n.MaxAnswer, 1) },
+		func() error { return checkBytes("--memory", n.Memory, minMemoryBytes) },
+		func() error { return checkPositive("--shutdown", n.Shutdown) },
+		n.checkDistinct,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n Node) checkPeers() error {
+	for _, peer := range n.Peers {
+		if err := checkAddress("--peers", peer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n Node) checkLog() error {
+	address, err := url.Parse(n.Log)
+	if err != nil || address.Scheme != "http" && address.Scheme != "https" || address.Host == "" {
+		return &Error{Flag: "--log", Value: n.Log, Expected: "an address such as http://10.0.0.1:7000"}
+	}
+	return nil
+}
+
+func (n Node) checkDistinct() error {
+	if n.CallerAddress != n.PeerAddress {
+		return nil
+	}
+	return &Error{Flag: "--peer-address", Value: n.PeerAddress, Expected: "another address than --caller-address"}
+}
+
+func checkWord(flag, value string) error {
+	if wordPattern.MatchString(value) {
+		return nil
+	}
+	return &Error{Flag: flag, Value: value, Expected: "1 to 63 lower-case letters, digits, dots or dashes, starting with a letter or digit"}
+}
+
+func checkAddress(flag, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		return &Error{Flag: flag, Value: value, Expected: "an IP number and a port such as 10.0.0.1:7001"}
+	}
+	return nil
+}
+
+func checkPositive(flag string, value time.Duration) error {
+	if value > 0 {
+		return nil
+	}
+	return &Error{Flag: flag, Value: value.String(), Expected: "a time above 0 such as 10s"}
+}
+
+func checkBytes(flag string, value, least int64) error {
+	if value >= least && value <= maxMemoryBytes {
+		return nil
+	}
+	expected := "a number of bytes from " + strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(maxMemoryBytes, 10)
+	return &Error{Flag: flag, Value: strconv.FormatInt(value, 10), Expected: expected}
+}
--- /dev/null
+++ b/settings/node_test.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func valid() Node {
+	return Node{
+		Name: "a", CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", Zone: "suwon",
+		Region: "gyeonggi", Peers: []string{"127.0.0.1:8003"}, Log: "http://127.0.0.1:7000",
+		Timeout: time.Second, MaxBody: 1, MaxAnswer: 1, Memory: minMemoryBytes, Shutdown: time.Second,
+	}
+}
+
+func TestCheckNamesFlagAndValue(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(valid().Check())
+	cases := []struct {
+		flag, value string
+		change      func(*Node)
+	}{
+		{"--name", "A B", func(n *Node) { n.Name = "A B" }},
+		{"--caller-address", "localhost:1", func(n *Node) { n.CallerAddress = "localhost:1" }},
+		{"--peer-address", "127.0.0.1:0", func(n *Node) { n.PeerAddress = "127.0.0.1:0" }},
+		{"--peer-address", "127.0.0.1:8000", func(n *Node) { n.PeerAddress = "127.0.0.1:8000" }},
+		{"--zone", "", func(n *Node) { n.Zone = "" }},
+		{"--peers", "x", func(n *Node) { n.Peers = []string{"x"} }},
+		{"--log", "ftp://a", func(n *Node) { n.Log = "ftp://a" }},
+		{"--timeout", "0s", func(n *Node) { n.Timeout = 0 }},
+		{"--memory", "5", func(n *Node) { n.Memory = 5 }},
+	}
+	for _, c := range cases {
+		node := valid()
+		c.change(&node)
+		var wrong *Error
+		is.True(errors.As(node.Check(), &wrong)) // a wrong setting must be found
+		is.Equal(wrong.Flag, c.flag)
+		is.Equal(wrong.Value, c.value)
+	}
+}
