Add registrar, announcer, roster, prober, disseminator and messenger

Cause: the daemon needs members and backend servers with leases, joined from seeds. Before: nothing.

--- /dev/null
+++ b/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger calls the PeerService of other nodes over Connect.
+package messenger
--- /dev/null
+++ b/prober/compare.go
@@ -0,0 +1,233 @@
+package prober
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/roster"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+const (
+	// compareBytes bounds the entries in one answer to Compare.
+	compareBytes = 32 << 10
+	// returnBytes bounds the entries that one round sends back.
+	returnBytes = 16 << 10
+	// steadyCalls and joinCalls bound the calls of one round.
+	steadyCalls = 8
+	joinCalls   = 1000
+	// joinRounds bounds the rounds of a node that joins.
+	joinRounds     = 3
+	compareTimeout = 5 * time.Second
+)
+
+// Compare answers which buckets differ, with the entries of the first ones.
+func (p *Prober) Compare(
+	_ context.Context, request *connect.Request[cowsliptallyv1.CompareRequest],
+) (*connect.Response[cowsliptallyv1.CompareResponse], error) {
+	theirs, parent := request.Msg.GetBuckets(), int(request.Msg.GetParent())
+	if len(theirs) != roster.BucketCount || parent > roster.BucketCount {
+		err := fault.New("compare", KindInvalid, "%d buckets of parent %d, expected %d buckets of at most %d",
+			len(theirs), parent, roster.BucketCount, roster.BucketCount)
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	response := &cowsliptallyv1.CompareResponse{Gossip: &cowsliptallyv1.Gossip{}}
+	for i, hash := range p.hashes(parent) {
+		if hash != theirs[i] {
+			response.Differing = append(response.Differing, uint32(i))
+		}
+	}
+	if len(response.Differing) > 0 {
+		p.include(response, parent)
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (p *Prober) hashes(parent int) []uint64 {
+	if parent == 0 {
+		return p.roster.Buckets()
+	}
+	return p.roster.FineBuckets(parent - 1)
+}
+
+// include adds the entries of differing buckets until the bound.
+func (p *Prober) include(response *cowsliptallyv1.CompareResponse, parent int) {
+	tables := p.roster.Entries(parent - 1)
+	total := 0
+	for _, i := range response.Differing {
+		gossip := tableMessage(tables[i])
+		total += proto.Size(gossip)
+		if total > compareBytes {
+			return
+		}
+		response.Gossip.Members = append(response.Gossip.Members, gossip.Members...)
+		response.Gossip.Backends = append(response.Gossip.Backends, gossip.Backends...)
+		response.Included++
+	}
+}
+
+func tableMessage(table roster.Table) *cowsliptallyv1.Gossip {
+	gossip := &cowsliptallyv1.Gossip{}
+	for _, m := range table.Members {
+		gossip.Members = append(gossip.Members, translator.MemberToMessage(m))
+	}
+	for _, b := range table.Backends {
+		gossip.Backends = append(gossip.Backends, backendMessage(b))
+	}
+	return gossip
+}
+
+// runComparisons compares tables with a random node at a slow pace.
+func (p *Prober) runComparisons(ctx context.Context) error {
+	for p.sleep(ctx, p.compareInterval) {
+		if chosen := p.choose(1, anyone); len(chosen) == 1 {
+			p.compare(ctx, chosen[0], steadyCalls)
+		}
+	}
+	return ctx.Err()
+}
+
+// catchUp compares tables until they are equal, for a node that joins.
+func (p *Prober) catchUp(ctx context.Context) {
+	for range joinRounds {
+		chosen := p.choose(1, anyone)
+		if len(chosen) == 0 || p.compare(ctx, chosen[0], joinCalls) {
+			return
+		}
+	}
+}
+
+// compare makes the tables of this node and another equal, in at most so many
+// calls; it reports whether they were equal at first.
+func (p *Prober) compare(ctx context.Context, target fleet.Member, calls int) bool {
+	p.counters.comparisons.Inc(1)
+	equal := true
+	answer := &cowsliptallyv1.Gossip{}
+	parents := []int{0}
+	for len(parents) > 0 && calls > 0 {
+		parent := parents[0]
+		parents = parents[1:]
+		calls--
+		response := p.compareOnce(ctx, target, parent, answer)
+		if response == nil {
+			return false
+		}
+		equal = equal && len(response.GetDiffering()) == 0
+		included := min(int(response.GetIncluded()), len(response.GetDiffering()))
+		if rest := response.GetDiffering()[included:]; parent == 0 {
+			for _, i := range rest {
+				parents = append(parents, int(i)+1)
+			}
+		} else if len(rest) > 0 {
+			parents = append(parents, parent)
+		}
+	}
+	p.giveBack(ctx, target, answer)
+	return equal
+}
+
+// compareOnce compares one level, merges the answer and adds to back what the
+// other node lacks.
+func (p *Prober) compareOnce(
+	ctx context.Context, target fleet.Member, parent int, back *cowsliptallyv1.Gossip,
+) *cowsliptallyv1.CompareResponse {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	response, err := p.transport.Compare(ctx, target.PeerAddress, &cowsliptallyv1.CompareRequest{
+		Buckets: p.hashes(parent),
+		Parent:  uint32(parent),
+	})
+	if err != nil || len(response.GetDiffering()) == 0 {
+		return response
+	}
+	p.merge(response.GetGossip(), false)
+	included := min(int(response.GetIncluded()), len(response.GetDiffering()))
+	tables := p.roster.Entries(parent - 1)
+	theirs := versionsOf(response.GetGossip())
+	for _, i := range response.GetDiffering()[:included] {
+		if int(i) < len(tables) {
+			p.addNewer(back, tables[i], theirs)
+		}
+	}
+	return response
+}
+
+// versions are the entries that another node has.
+type versions struct {
+	members  map[fleet.NodeID]fleet.Member
+	backends map[fleet.BackendID]fleet.Backend
+}
+
+func versionsOf(gossip *cowsliptallyv1.Gossip) versions {
+	v := versions{
+		members:  make(map[fleet.NodeID]fleet.Member),
+		backends: make(map[fleet.BackendID]fleet.Backend),
+	}
+	for _, message := range gossip.GetMembers() {
+		m := translator.MemberFromMessage(message)
+		v.members[m.ID] = m
+	}
+	for _, message := range gossip.GetBackends() {
+		b := translator.BackendFromMessage(message)
+		v.backends[b.ID] = b
+	}
+	return v
+}
+
+// addNewer adds the entries of a table that are missing or older elsewhere.
+func (p *Prober) addNewer(back *cowsliptallyv1.Gossip, table roster.Table, theirs versions) {
+	for _, m := range table.Members {
+		other, found := theirs.members[m.ID]
+		if !found || roster.NewerMember(m, other) {
+			back.Members = append(back.Members, translator.MemberToMessage(m))
+		}
+	}
+	for _, b := range table.Backends {
+		other, found := theirs.backends[b.ID]
+		if !found || roster.NewerBackend(b, other) {
+			back.Backends = append(back.Backends, backendMessage(b))
+		}
+	}
+}
+
+// giveBack sends the other node what it lacks, bounded in bytes; the rest follows
+// in later rounds.
+func (p *Prober) giveBack(ctx context.Context, target fleet.Member, back *cowsliptallyv1.Gossip) {
+	bounded := bound(back, returnBytes)
+	if len(bounded.GetMembers())+len(bounded.GetBackends()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	response, err := p.transport.Probe(ctx, target.PeerAddress, &cowsliptallyv1.ProbeRequest{
+		From:   translator.MemberToMessage(p.Self()),
+		Gossip: bounded,
+	})
+	if err == nil {
+		p.hear(response.GetFrom(), response.GetGossip())
+	}
+}
+
+// bound returns the first entries of gossip that fit.
+func bound(gossip *cowsliptallyv1.Gossip, bytes int) *cowsliptallyv1.Gossip {
+	bounded := &cowsliptallyv1.Gossip{}
+	for _, m := range gossip.GetMembers() {
+		if bytes -= proto.Size(m) + fieldBytes; bytes < 0 {
+			return bounded
+		}
+		bounded.Members = append(bounded.Members, m)
+	}
+	for _, b := range gossip.GetBackends() {
+		if bytes -= proto.Size(b) + fieldBytes; bytes < 0 {
+			return bounded
+		}
+		bounded.Backends = append(bounded.Backends, b)
+	}
+	return bounded
+}
--- /dev/null
+++ b/prober/gossip.go
@@ -0,0 +1,182 @@
+package prober
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptally.example/cowsliptally/disseminator"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+const (
+	// piggybackBytes bounds the changes in one probe or its answer.
+	piggybackBytes = 1 << 10
+	// pushBytes bounds the changes in one push.
+	pushBytes = 4 << 10
+	// fieldBytes is the cost of one entry's tag and length.
+	fieldBytes = 3
+)
+
+// gossip returns what one message carries: the newest changes within a number of
+// bytes and within the bytes a second that this node may send.
+func (p *Prober) gossip(bytes int) *cowsliptallyv1.Gossip {
+	now := p.clock.Now()
+	bytes = min(bytes, int(p.budget.TokensAt(now)))
+	messages := make(map[disseminator.Key]proto.Message)
+	total := 0
+	size := func(key disseminator.Key) int {
+		message := p.message(key)
+		if message == nil {
+			return 0
+		}
+		messages[key] = message
+		return proto.Size(message) + fieldBytes
+	}
+	gossip := &cowsliptallyv1.Gossip{}
+	for _, key := range p.changes.Take(bytes, p.nodes(), size) {
+		total += proto.Size(messages[key]) + fieldBytes
+		appendTo(gossip, messages[key])
+	}
+	p.budget.AllowN(now, total)
+	p.counters.gossipBytes.Inc(int64(total))
+	revision, nextOffset := p.progress.Known()
+	gossip.Revision, gossip.NextOffset = uint64(revision), nextOffset
+	return gossip
+}
+
+func appendTo(gossip *cowsliptallyv1.Gossip, message proto.Message) {
+	switch m := message.(type) {
+	case *cowsliptallyv1.Member:
+		gossip.Members = append(gossip.Members, m)
+	case *cowsliptallyv1.BackendServer:
+		gossip.Backends = append(gossip.Backends, m)
+	}
+}
+
+// message returns the newest version of an entry, or nil when it no longer exists.
+func (p *Prober) message(key disseminator.Key) proto.Message {
+	if key.Class == disseminator.ClassMember {
+		if m, found := p.roster.Member(fleet.NodeID(key.ID)); found {
+			return memberMessage(m)
+		}
+		return nil
+	}
+	if b, found := p.roster.Backend(fleet.BackendID(key.ID)); found {
+		return backendMessage(b)
+	}
+	return nil
+}
+
+// memberMessage leaves out what others know already of a node that is not alive.
+func memberMessage(m fleet.Member) *cowsliptallyv1.Member {
+	if m.State != fleet.MemberAlive {
+		m = fleet.Member{ID: m.ID, Incarnation: m.Incarnation, State: m.State}
+	}
+	return translator.MemberToMessage(m)
+}
+
+// backendMessage leaves out what others know already of a backend server that is gone.
+func backendMessage(b fleet.Backend) *cowsliptallyv1.BackendServer {
+	if b.State == fleet.BackendGone {
+		b = fleet.Backend{ID: b.ID, Owner: b.Owner, State: b.State, Sequence: b.Sequence}
+	}
+	return translator.BackendToMessage(b)
+}
+
+// merge takes in what another node tells; spread tells whether to pass it on.
+func (p *Prober) merge(gossip *cowsliptallyv1.Gossip, spread bool) {
+	for _, message := range gossip.GetMembers() {
+		p.mergeMember(translator.MemberFromMessage(message), spread)
+	}
+	for _, message := range gossip.GetBackends() {
+		p.mergeBackend(translator.BackendFromMessage(message), spread)
+	}
+}
+
+// hear takes in a whole exchange: its sender, the changes and how far it is.
+func (p *Prober) hear(from *cowsliptallyv1.Member, gossip *cowsliptallyv1.Gossip) {
+	sender := translator.MemberFromMessage(from)
+	p.mergeMember(sender, true)
+	p.merge(gossip, true)
+	p.progress.Heard(sender, fleet.Revision(gossip.GetRevision()), gossip.GetNextOffset())
+}
+
+func (p *Prober) mergeMember(m fleet.Member, spread bool) {
+	if m.ID == "" || m.State < fleet.MemberAlive || m.State > fleet.MemberLeft {
+		p.counters.invalid.Inc(1)
+		return
+	}
+	if m.ID == p.node {
+		p.refute(m)
+		return
+	}
+	old, known := p.roster.Member(m.ID)
+	if !known && m.State == fleet.MemberSuspect {
+		return
+	}
+	if !p.roster.PutMember(m) {
+		return
+	}
+	p.memberChanged(m, "told by a peer")
+	if !spread {
+		return
+	}
+	p.queueMember(m.ID)
+	revived := known && old.State != fleet.MemberAlive
+	if m.State != fleet.MemberAlive || revived {
+		p.hurry()
+	}
+}
+
+// refute raises the own incarnation when another node spreads that this one is
+// not alive, or a newer life of it.
+func (p *Prober) refute(m fleet.Member) {
+	p.mu.Lock()
+	obsolete := m.Incarnation < p.self.Incarnation
+	same := m.Incarnation == p.self.Incarnation && m.State == fleet.MemberAlive
+	if obsolete || same || p.self.State == fleet.MemberLeft {
+		p.mu.Unlock()
+		return
+	}
+	p.self = p.self.WithIncarnation(m.Incarnation + 1)
+	self := p.self
+	p.awareness = p.awareness.worse()
+	p.mu.Unlock()
+	p.counters.refutations.Inc(1)
+	p.roster.PutMember(self)
+	p.journal.Record(fleet.NewEvent(fleet.EventMember, string(self.ID), "refuted: "+m.State.String()))
+	p.queueMember(self.ID)
+	p.hurry()
+}
+
+func (p *Prober) mergeBackend(b fleet.Backend, spread bool) {
+	if b.ID == "" || b.Owner == "" || b.State < fleet.BackendStarting || b.State > fleet.BackendGone {
+		p.counters.invalid.Inc(1)
+		return
+	}
+	changed := p.roster.PutBackend(b)
+	if _, local := p.owner.Backend(b.ID); local || b.Owner == p.node {
+		p.owner.Claim(b)
+	}
+	if !changed || !spread {
+		return
+	}
+	p.queueBackend(b.ID)
+	if !b.TakesWork() {
+		p.hurry()
+	}
+}
+
+// memberChanged notes a change of another node in the roster.
+func (p *Prober) memberChanged(m fleet.Member, reason string) {
+	p.mu.Lock()
+	p.stale = true
+	if entry, accused := p.suspicions[m.ID]; accused {
+		if m.State != fleet.MemberSuspect || m.Incarnation > entry.incarnation {
+			delete(p.suspicions, m.ID)
+		}
+	}
+	p.mu.Unlock()
+	p.journal.Record(fleet.NewEvent(fleet.EventMember, string(m.ID), m.State.String()+": "+reason))
+}
--- /dev/null
+++ b/prober/network_test.go
@@ -0,0 +1,260 @@
+package prober_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/prober"
+	"cowsliptally.example/cowsliptally/registrar"
+	"cowsliptally.example/cowsliptally/roster"
+)
+
+const latency = 2 * time.Millisecond
+
+var errLost = errors.New("lost")
+
+// network joins nodes of one process; links fail in one direction.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   map[[2]string]bool
+	calls int
+	// watch is told of each entry that a node's journal records.
+	watch func(at *node, event fleet.Event)
+}
+
+// node is one process of the fleet.
+type node struct {
+	network   *network
+	self      fleet.Member
+	roster    *roster.Roster
+	prober    *prober.Prober
+	registrar *registrar.Registrar
+	stop      context.CancelFunc
+	done      chan struct{}
+
+	mu     sync.Mutex
+	thawed chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{nodes: make(map[string]*node), cut: make(map[[2]string]bool)}
+}
+
+// start starts a node at an address; the name is its identifier.
+func (w *network) start(name, address string, seeds ...string) *node {
+	n := &node{network: w, done: make(chan struct{}), thawed: make(chan struct{})}
+	close(n.thawed)
+	n.self = fleet.Member{ID: fleet.NodeID(name), PeerAddress: address, Zone: "z"}
+	clock := pausable{Clock: clockwork.NewRealClock(), node: n}
+	n.roster = roster.New(roster.WithClock(clock))
+	n.registrar = registrar.New(n.self.ID, "z", registrar.WithClock(clock), registrar.WithDirectory(n.roster))
+	seed := uint64(len(name)) + uint64(len(w.nodes))<<8
+	n.prober = prober.New(n.self, n.roster, link{from: n}, prober.WithClock(clock), prober.WithSeeds(seeds...),
+		prober.WithRandom(seed), prober.WithOwner(n.registrar), prober.WithJournal(n))
+	n.registrar.Watch(n.prober)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = func() { cancel(); <-n.done }
+	w.mu.Lock()
+	w.nodes[address] = n
+	w.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		go func() { _ = n.registrar.Run(ctx) }()
+		_ = n.prober.Run(ctx)
+	}()
+	return n
+}
+
+// fleetOf starts count nodes that know the first two as seeds.
+func (w *network) fleetOf(count int) []*node {
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, w.start(fmt.Sprintf("n%d", i), address(i), address(0), address(1)))
+	}
+	return nodes
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1) }
+
+func (w *network) stopAll() {
+	w.mu.Lock()
+	nodes := maps.Clone(w.nodes)
+	w.mu.Unlock()
+	for _, n := range nodes {
+		n.thaw()
+		n.stop()
+	}
+	time.Sleep(2 * time.Minute) // lets the timers of stopped nodes run out
+}
+
+// kill stops a node without a word.
+func (w *network) kill(n *node) {
+	w.mu.Lock()
+	if w.nodes[n.self.PeerAddress] == n {
+		delete(w.nodes, n.self.PeerAddress)
+	}
+	w.mu.Unlock()
+	n.stop()
+}
+
+func (w *network) setCut(from, to *node, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]string{from.self.PeerAddress, to.self.PeerAddress}] = cut
+}
+
+func (w *network) open(from, to string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cut[[2]string{from, to}]
+}
+
+func (w *network) at(address string) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	return w.nodes[address]
+}
+
+// Record implements prober.Journal.
+func (n *node) Record(event fleet.Event) {
+	if n.network.watch != nil {
+		n.network.watch(n, event)
+	}
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.thawed = make(chan struct{})
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.thawed:
+	default:
+		close(n.thawed)
+	}
+}
+
+// run waits until the node is not paused.
+func (n *node) run() {
+	n.mu.Lock()
+	thawed := n.thawed
+	n.mu.Unlock()
+	<-thawed
+}
+
+func (n *node) announce(id, service string, state cowsliptallyv1.BackendState) error {
+	_, err := n.registrar.Announce(context.Background(), connect.NewRequest(&cowsliptallyv1.AnnounceRequest{
+		Id: id, Service: service, Address: "127.0.0.1:1", Slots: 4, State: state,
+	}))
+	return err
+}
+
+// pausable is a clock whose timers fire late while the node is paused.
+type pausable struct {
+	clockwork.Clock
+	node *node
+}
+
+func (c pausable) After(d time.Duration) <-chan time.Time {
+	fired := make(chan time.Time, 1)
+	go func() {
+		time.Sleep(d)
+		c.node.run()
+		fired <- time.Now()
+	}()
+	return fired
+}
+
+// link is a node's way to others.
+type link struct{ from *node }
+
+func send[Q, A any](ctx context.Context, l link, address string, request *Q,
+	handle func(*node) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) (*A, error) {
+	defer l.from.run()
+	w, from := l.from.network, l.from.self.PeerAddress
+	time.Sleep(latency)
+	to := w.at(address)
+	if to == nil {
+		return nil, errLost
+	}
+	answers := make(chan *A, 1)
+	if w.open(from, address) {
+		go func() {
+			to.run()
+			answer, err := handle(to)(ctx, connect.NewRequest(request))
+			time.Sleep(latency)
+			if err == nil && w.open(address, from) {
+				answers <- answer.Msg
+			}
+		}()
+	}
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l link) Probe(ctx context.Context, address string, request *cowsliptallyv1.ProbeRequest) (
+	*cowsliptallyv1.ProbeResponse, error,
+) {
+	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.ProbeRequest]) (
+		*connect.Response[cowsliptallyv1.ProbeResponse], error) {
+		return n.prober.Probe
+	})
+}
+
+func (l link) ProbeIndirect(ctx context.Context, address string, request *cowsliptallyv1.ProbeIndirectRequest) (
+	*cowsliptallyv1.ProbeIndirectResponse, error,
+) {
+	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.ProbeIndirectRequest]) (
+		*connect.Response[cowsliptallyv1.ProbeIndirectResponse], error) {
+		return n.prober.ProbeIndirect
+	})
+}
+
+func (l link) Compare(ctx context.Context, address string, request *cowsliptallyv1.CompareRequest) (
+	*cowsliptallyv1.CompareResponse, error,
+) {
+	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.CompareRequest]) (
+		*connect.Response[cowsliptallyv1.CompareResponse], error) {
+		return n.prober.Compare
+	})
+}
+
+// sees reports whether a node has another in a state.
+func (n *node) sees(other *node, state fleet.MemberState) bool {
+	m, found := n.roster.Member(other.self.ID)
+	return found && m.State == state
+}
+
+func equalTables(t *testing.T, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes[1:] {
+		for i, hash := range n.roster.Buckets() {
+			if hash != nodes[0].roster.Buckets()[i] {
+				t.Errorf("%s and %s differ in bucket %d:\n%v\n%v", nodes[0].self.ID, n.self.ID, i,
+					nodes[0].roster.Members(), n.roster.Members())
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/prober/peers.go
@@ -0,0 +1,80 @@
+package prober
+
+import (
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// peers returns the other nodes that are alive or suspect; the slice is shared.
+func (p *Prober) peers() []fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peersLocked()
+}
+
+func (p *Prober) peersLocked() []fleet.Member {
+	if !p.stale {
+		return p.live
+	}
+	p.stale = false
+	var live []fleet.Member
+	for _, m := range p.roster.Members() {
+		if m.ID != p.node && reachable(m) {
+			live = append(live, m)
+		}
+	}
+	p.live = live
+	return live
+}
+
+// nodes returns the size of the fleet as this node knows it.
+func (p *Prober) nodes() int {
+	return len(p.peers()) + 1
+}
+
+// choose returns up to count random peers that wanted accepts.
+func (p *Prober) choose(count int, wanted func(fleet.Member) bool) []fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	live := p.peersLocked()
+	var chosen []fleet.Member
+	for _, i := range p.random.Perm(len(live)) {
+		if len(chosen) == count {
+			break
+		}
+		if wanted(live[i]) {
+			chosen = append(chosen, live[i])
+		}
+	}
+	return chosen
+}
+
+// nextTarget returns the next node to probe.
+func (p *Prober) nextTarget() (fleet.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	refill := func() []fleet.NodeID {
+		live := p.peersLocked()
+		ids := make([]fleet.NodeID, 0, len(live))
+		for _, m := range live {
+			ids = append(ids, m.ID)
+		}
+		return ids
+	}
+	wanted := func(id fleet.NodeID) bool {
+		m, found := p.roster.Member(id)
+		return found && reachable(m)
+	}
+	id, found := p.rotation.next(p.random, refill, wanted)
+	if !found {
+		return fleet.Member{}, false
+	}
+	return p.roster.Member(id)
+}
+
+// reachable reports whether a node may answer.
+func reachable(m fleet.Member) bool {
+	alive := m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect
+	return alive && m.PeerAddress != ""
+}
+
+func anyone(fleet.Member) bool { return true }
--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,157 @@
+package prober
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"cowsliptally.example/cowsliptally/disseminator"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/roster"
+)
+
+// Prober keeps a roster true to the fleet. It implements PeerService and is safe
+// for concurrent use.
+type Prober struct {
+	node            fleet.NodeID
+	roster          *roster.Roster
+	transport       Transport
+	clock           clockwork.Clock
+	seeds           []string
+	interval        time.Duration
+	timeout         time.Duration
+	compareInterval time.Duration
+	bytesPerSecond  int
+	journal         Journal
+	owner           Owner
+	progress        Progress
+	registry        metrics.Registry
+	counters        counters
+	changes         *disseminator.Disseminator
+	budget          *rate.Limiter
+	// urgent asks for changes to be pushed without waiting for the next probe.
+	urgent chan struct{}
+	// probing bounds the probes that run at a time.
+	probing chan struct{}
+
+	mu         sync.Mutex
+	self       fleet.Member
+	random     *rand.Rand
+	awareness  awareness
+	suspicions suspicions
+	rotation   rotation
+	// live caches the identifiers of the nodes that are alive or suspect.
+	live []fleet.Member
+	// stale is set when live must be made anew.
+	stale bool
+}
+
+const (
+	maxProbing   = 16
+	burstSeconds = 20
+)
+
+// New returns a prober for a node, which enters itself into the roster.
+func New(self fleet.Member, table *roster.Roster, transport Transport, options ...Option) *Prober {
+	p := &Prober{
+		node:            self.ID,
+		roster:          table,
+		transport:       transport,
+		clock:           clockwork.NewRealClock(),
+		interval:        defaultInterval,
+		timeout:         defaultTimeout,
+		compareInterval: defaultCompareInterval,
+		bytesPerSecond:  defaultBytesPerSecond,
+		journal:         noJournal{},
+		owner:           noOwner{},
+		progress:        noProgress{},
+		registry:        metrics.NewRegistry(),
+		changes:         disseminator.New(),
+		urgent:          make(chan struct{}, 1),
+		probing:         make(chan struct{}, maxProbing),
+		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		suspicions:      make(suspicions),
+		stale:           true,
+	}
+	for _, option := range options {
+		option(p)
+	}
+	p.counters = newCounters(p.registry)
+	p.budget = rate.NewLimiter(rate.Limit(p.bytesPerSecond), burstSeconds*p.bytesPerSecond)
+	p.self = self.WithState(fleet.MemberAlive).WithIncarnation(max(self.Incarnation, 1))
+	p.roster.PutMember(p.self)
+	p.queueMember(self.ID)
+	return p
+}
+
+// Run joins the fleet and keeps the roster true to it until ctx is done.
+func (p *Prober) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, duty := range []func(context.Context) error{
+		p.runProbes, p.runSuspicions, p.runPushes, p.runComparisons, p.runSeeds, p.runExpiry,
+	} {
+		group.Go(func() error { return duty(ctx) })
+	}
+	return group.Wait()
+}
+
+// Self returns this node as it describes itself to others.
+func (p *Prober) Self() fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self
+}
+
+// BackendChanged enters a change of a backend server of this VM and spreads it; a
+// change that stops new work is pushed at once.
+func (p *Prober) BackendChanged(b fleet.Backend) {
+	if !p.roster.PutBackend(b) {
+		return
+	}
+	p.queueBackend(b.ID)
+	if !b.TakesWork() {
+		p.hurry()
+	}
+}
+
+func (p *Prober) queueMember(id fleet.NodeID) {
+	p.changes.Add(disseminator.Key{Class: disseminator.ClassMember, ID: string(id)})
+}
+
+func (p *Prober) queueBackend(id fleet.BackendID) {
+	p.changes.Add(disseminator.Key{Class: disseminator.ClassBackend, ID: string(id)})
+}
+
+// hurry asks for a push.
+func (p *Prober) hurry() {
+	select {
+	case p.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// runExpiry drops old tombstones.
+func (p *Prober) runExpiry(ctx context.Context) error {
+	for p.sleep(ctx, expiryInterval) {
+		p.roster.Expire()
+	}
+	return ctx.Err()
+}
+
+const expiryInterval = time.Minute
+
+// sleep waits and reports whether ctx is still live.
+func (p *Prober) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.clock.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/prober/push.go
@@ -0,0 +1,103 @@
+package prober
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+const (
+	// pushFanout is the number of nodes that each node tells of an urgent change at once.
+	pushFanout = 4
+	// pushDelay gathers urgent changes into one push.
+	pushDelay = 50 * time.Millisecond
+)
+
+// runPushes tells a few nodes of urgent changes at once; each does so in turn.
+func (p *Prober) runPushes(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.urgent:
+		}
+		if !p.sleep(ctx, pushDelay) {
+			return ctx.Err()
+		}
+		p.counters.urgentBatches.Inc(1)
+		p.push(ctx, pushFanout)
+	}
+}
+
+// push sends the newest changes to a number of nodes and returns how many took
+// them. A node that fails is replaced by another once.
+func (p *Prober) push(ctx context.Context, count int) int {
+	chosen := p.choose(2*count, func(m fleet.Member) bool { return m.State == fleet.MemberAlive })
+	first := min(count, len(chosen))
+	taken := p.pushTo(ctx, chosen[:first])
+	if missing := first - taken; missing > 0 {
+		spare := chosen[first:]
+		taken += p.pushTo(ctx, spare[:min(missing, len(spare))])
+	}
+	return taken
+}
+
+// pushTo sends the same changes to all targets at the same time.
+func (p *Prober) pushTo(ctx context.Context, targets []fleet.Member) int {
+	if len(targets) == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	gossip := p.gossip(pushBytes)
+	request := &cowsliptallyv1.ProbeRequest{
+		From:   translator.MemberToMessage(p.Self()),
+		Gossip: gossip,
+	}
+	results := make(chan bool, len(targets))
+	var duties sync.WaitGroup
+	for _, target := range targets {
+		duties.Go(func() {
+			response, err := p.transport.Probe(ctx, target.PeerAddress, request)
+			if err == nil {
+				p.hear(response.GetFrom(), response.GetGossip())
+			}
+			results <- err == nil
+		})
+	}
+	duties.Wait()
+	taken := 0
+	for range targets {
+		if <-results {
+			taken++
+		}
+	}
+	return taken
+}
+
+// Leave tells the fleet that this node goes, and returns once several nodes know.
+// It is to be called before Run ends, after the backend servers were drained.
+func (p *Prober) Leave(ctx context.Context) error {
+	p.mu.Lock()
+	p.self = p.self.WithState(fleet.MemberLeft)
+	self := p.self
+	p.mu.Unlock()
+	p.roster.PutMember(self)
+	p.queueMember(self.ID)
+	if len(p.peers()) == 0 {
+		return nil
+	}
+	for range leaveAttempts {
+		if p.push(ctx, pushFanout) > 0 {
+			return nil
+		}
+	}
+	return fault.New("leave", KindUnreachable, "no peer answered in %d attempts", leaveAttempts)
+}
+
+const leaveAttempts = 3
--- /dev/null
+++ b/registrar/handler.go
@@ -0,0 +1,143 @@
+package registrar
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/netip"
+
+	"connectrpc.com/connect"
+
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// Announce enters a backend server or renews its lease.
+func (r *Registrar) Announce(
+	_ context.Context, request *connect.Request[cowsliptallyv1.AnnounceRequest],
+) (*connect.Response[cowsliptallyv1.AnnounceResponse], error) {
+	sequence, err := r.announce(request.Msg)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&cowsliptallyv1.AnnounceResponse{
+		LeaseMs:  uint32(r.lease.Milliseconds()),
+		Sequence: sequence,
+	}), nil
+}
+
+// Leave stops new work for a backend server at once.
+func (r *Registrar) Leave(
+	_ context.Context, request *connect.Request[cowsliptallyv1.LeaveRequest],
+) (*connect.Response[cowsliptallyv1.LeaveResponse], error) {
+	id := fleet.BackendID(request.Msg.GetId())
+	if err := r.leave(id); err != nil {
+		return nil, connectError(err)
+	}
+	response := &cowsliptallyv1.LeaveResponse{}
+	if r.counter != nil {
+		response.InFlight = uint32(max(0, r.counter.InFlight(id)))
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (r *Registrar) leave(id fleet.BackendID) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, found := r.entries[id]
+	if !found {
+		return fault.New("leave", KindUnknown, "backend server %q is not on this VM", id)
+	}
+	r.drain(e, "leaves")
+	return nil
+}
+
+func (r *Registrar) announce(m *cowsliptallyv1.AnnounceRequest) (uint64, error) {
+	if err := validate(m); err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wanted := r.backend(m)
+	e, found := r.entries[wanted.ID]
+	if !found {
+		e = &registration{}
+		wanted.Sequence = r.firstSequence(wanted.ID, m.GetSequence())
+		r.entries[wanted.ID] = e
+		r.change(e, wanted, "announced")
+	}
+	if e.left && wanted.TakesWork() {
+		return 0, fault.New("announce", KindLeft, "backend server %q left and cannot come back", wanted.ID)
+	}
+	e.expires = r.clock.Now().Add(r.lease)
+	wanted.Sequence = e.backend.Sequence
+	if wanted != e.backend {
+		wanted.Sequence++
+		r.change(e, wanted, "announced")
+	}
+	return e.backend.Sequence, nil
+}
+
+// firstSequence returns a number above all that earlier owners gave.
+func (r *Registrar) firstSequence(id fleet.BackendID, announced uint64) uint64 {
+	if r.directory != nil {
+		if known, found := r.directory.Backend(id); found {
+			announced = max(announced, known.Sequence)
+		}
+	}
+	return nextOwnership(announced)
+}
+
+func (r *Registrar) backend(m *cowsliptallyv1.AnnounceRequest) fleet.Backend {
+	return fleet.Backend{
+		ID:      fleet.BackendID(m.GetId()),
+		Service: fleet.ServiceName(m.GetService()),
+		Owner:   r.node,
+		Zone:    r.zone,
+		Address: m.GetAddress(),
+		Slots:   int(m.GetSlots()),
+		State:   fleet.BackendState(m.GetState()),
+	}
+}
+
+func validate(m *cowsliptallyv1.AnnounceRequest) error {
+	if m.GetId() == "" {
+		return fault.New("announce", KindInvalid, "backend server identifier is empty")
+	}
+	if m.GetService() == "" {
+		return fault.New("announce", KindInvalid, "service of backend server %q is empty", m.GetId())
+	}
+	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
+		return fault.New("announce", KindInvalid, "address %q of backend server %q is not IP:port",
+			m.GetAddress(), m.GetId())
+	}
+	if m.GetSlots() == 0 || m.GetSlots() > math.MaxUint16 {
+		return fault.New("announce", KindInvalid, "backend server %q has %d slots, expected 1 to %d",
+			m.GetId(), m.GetSlots(), math.MaxUint16)
+	}
+	switch m.GetState() {
+	case cowsliptallyv1.BackendState_BACKEND_STATE_STARTING,
+		cowsliptallyv1.BackendState_BACKEND_STATE_READY,
+		cowsliptallyv1.BackendState_BACKEND_STATE_DRAINING:
+		return nil
+	default:
+		return fault.New("announce", KindInvalid, "backend server %q announced state %s",
+			m.GetId(), m.GetState())
+	}
+}
+
+func connectError(err error) error {
+	var failed *Error
+	if !errors.As(err, &failed) {
+		return connect.NewError(connect.CodeInternal, err)
+	}
+	switch failed.Kind {
+	case KindInvalid:
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case KindLeft:
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	default:
+		return connect.NewError(connect.CodeNotFound, err)
+	}
+}
--- /dev/null
+++ b/roster/entry.go
@@ -0,0 +1,56 @@
+package roster
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// none marks the end of a chain of entries.
+const none = ^uint32(0)
+
+// entry is a backend server in compact form. Chains link entries by index.
+type entry struct {
+	id       string
+	sequence uint64
+	service  uint32
+	owner    uint32
+	zone     uint32
+	// since is when the entry became a tombstone, in seconds since the roster's start.
+	since uint32
+	// sameHash, sameService and sameOwner are the next entries of the chains.
+	sameHash    uint32
+	sameService uint32
+	sameOwner   uint32
+	address     address
+	slots       uint16
+	// bucket is the fine bucket.
+	bucket uint16
+	state  fleet.BackendState
+	used   bool
+	// compared is false once a tombstone is too old to be handed to others.
+	compared bool
+}
+
+// hashID returns the hash of an identifier; kind keeps members and backend servers apart.
+func hashID(kind byte, id string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.Write([]byte{kind})
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
+
+// hashVersion returns the hash of one version of an entry.
+func hashVersion(id uint64, version uint64, writer string) uint64 {
+	var words [16]byte
+	binary.LittleEndian.PutUint64(words[:8], id)
+	binary.LittleEndian.PutUint64(words[8:], version)
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.Write(words[:])
+	_, _ = digest.WriteString(writer)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/roster/order.go
@@ -0,0 +1,21 @@
+package roster
+
+import "cowsliptally.example/cowsliptally/fleet"
+
+// NewerMember reports whether a replaces b: by incarnation, then by state.
+func NewerMember(a, b fleet.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.State > b.State
+}
+
+// NewerBackend reports whether a replaces b: by sequence number. Two owners with
+// the same number happen only while a backend server moves between nodes; the
+// greater identifier wins everywhere until the rightful owner raises the number.
+func NewerBackend(a, b fleet.Backend) bool {
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.Owner > b.Owner
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,185 @@
+package roster
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	kindMember  = 'm'
+	kindBackend = 'b'
+)
+
+// Roster is the table of nodes and backend servers. It is safe for concurrent use.
+type Roster struct {
+	clock     clockwork.Clock
+	start     time.Time
+	retention time.Duration
+
+	mu      sync.RWMutex
+	strings *interner
+	members map[fleet.NodeID]memberEntry
+	// entries holds backend servers; free lists the unused places.
+	entries []entry
+	free    []uint32
+	// byHash holds the first entry of each identifier hash.
+	byHash map[uint64]uint32
+	// byService and byOwner hold the first entry of each interned name.
+	byService map[uint32]uint32
+	byOwner   map[uint32]uint32
+	buckets   buckets
+
+	// candidates caches Backends by service; it is filled and cleared under mu.
+	candidates sync.Map
+}
+
+// memberEntry is a node; since and compared are as in entry.
+type memberEntry struct {
+	fleet.Member
+	since    uint32
+	compared bool
+}
+
+// New returns an empty roster.
+func New(options ...Option) *Roster {
+	r := &Roster{
+		clock:     clockwork.NewRealClock(),
+		retention: defaultRetention,
+		strings:   newInterner(),
+		members:   make(map[fleet.NodeID]memberEntry),
+		byHash:    make(map[uint64]uint32),
+		byService: make(map[uint32]uint32),
+		byOwner:   make(map[uint32]uint32),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	r.start = r.clock.Now()
+	return r
+}
+
+// Member returns a node by identifier, tombstones included.
+func (r *Roster) Member(id fleet.NodeID) (fleet.Member, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	m, found := r.members[id]
+	return m.Member, found
+}
+
+// Members returns all nodes, tombstones included, in no order.
+func (r *Roster) Members() []fleet.Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	members := make([]fleet.Member, 0, len(r.members))
+	for _, m := range r.members {
+		members = append(members, m.Member)
+	}
+	return members
+}
+
+// Backend returns a backend server by identifier, tombstones included.
+func (r *Roster) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	i := r.find(string(id))
+	if i == none {
+		return fleet.Backend{}, false
+	}
+	return r.backend(i), true
+}
+
+// Backends returns the backend servers of a service that take new work and whose
+// owner lives. The slice is shared: it must not be changed.
+func (r *Roster) Backends(service fleet.ServiceName) []fleet.Backend {
+	if cached, found := r.candidates.Load(service); found {
+		return cached.([]fleet.Backend)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	number, found := r.strings.lookup(string(service))
+	if !found {
+		return nil
+	}
+	backends := r.collect(number)
+	r.candidates.Store(service, backends)
+	return backends
+}
+
+// All returns every backend server of a service, whatever its state.
+func (r *Roster) All(service fleet.ServiceName) []fleet.Backend {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	number, found := r.strings.lookup(string(service))
+	if !found {
+		return nil
+	}
+	var backends []fleet.Backend
+	for i := r.first(r.byService, number); i != none; i = r.entries[i].sameService {
+		backends = append(backends, r.backend(i))
+	}
+	return backends
+}
+
+// Size returns the number of nodes and backend servers, tombstones included.
+func (r *Roster) Size() (members, backends int) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.members), len(r.entries) - len(r.free)
+}
+
+func (r *Roster) collect(service uint32) []fleet.Backend {
+	var backends []fleet.Backend
+	for i := r.first(r.byService, service); i != none; i = r.entries[i].sameService {
+		b := r.backend(i)
+		if b.TakesWork() && r.lives(b.Owner) {
+			backends = append(backends, b)
+		}
+	}
+	return backends
+}
+
+// lives reports whether a node may get requests; a suspect one may.
+func (r *Roster) lives(id fleet.NodeID) bool {
+	m, found := r.members[id]
+	return found && (m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect)
+}
+
+func (r *Roster) backend(i uint32) fleet.Backend {
+	e := &r.entries[i]
+	return fleet.Backend{
+		ID:       fleet.BackendID(e.id),
+		Service:  fleet.ServiceName(r.strings.value(e.service)),
+		Owner:    fleet.NodeID(r.strings.value(e.owner)),
+		Zone:     fleet.Zone(r.strings.value(e.zone)),
+		Address:  e.address.text(r.strings),
+		Slots:    int(e.slots),
+		State:    e.state,
+		Sequence: e.sequence,
+	}
+}
+
+func (r *Roster) first(heads map[uint32]uint32, number uint32) uint32 {
+	if i, found := heads[number]; found {
+		return i
+	}
+	return none
+}
+
+func (r *Roster) find(id string) uint32 {
+	i, found := r.byHash[hashID(kindBackend, id)]
+	if !found {
+		return none
+	}
+	for i != none && r.entries[i].id != id {
+		i = r.entries[i].sameHash
+	}
+	return i
+}
+
+func (r *Roster) seconds() uint32 {
+	return uint32(r.clock.Now().Sub(r.start) / time.Second)
+}
