--- /dev/null
+++ b/balancer/group.go
@@ -0,0 +1,40 @@
+package balancer
+
+import "cowsliptally.example/cowsliptally/fleet"
+
+// group is what is kept of one service: its candidates that take work, those of
+// the node's availability zone first.
+type group struct {
+	picks  uint64
+	source []fleet.Backend
+	usable []int32
+	near   int
+}
+
+// update follows a change of the candidates.
+func (g *group) update(zone fleet.Zone, candidates []fleet.Backend) {
+	if same(g.source, candidates) {
+		return
+	}
+	g.source = candidates
+	g.usable = g.usable[:0]
+	for i := range candidates {
+		if candidates[i].TakesWork() && candidates[i].Zone == zone {
+			g.usable = append(g.usable, int32(i))
+		}
+	}
+	g.near = len(g.usable)
+	for i := range candidates {
+		if candidates[i].TakesWork() && candidates[i].Zone != zone {
+			g.usable = append(g.usable, int32(i))
+		}
+	}
+}
+
+// same reports whether two slices are the same part of the same array.
+func same(a, b []fleet.Backend) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	return len(a) == 0 || &a[0] == &b[0]
+}
--- /dev/null
+++ b/judge/option.go
@@ -0,0 +1,49 @@
+package judge
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// Option sets up a judge.
+type Option func(*Judge)
+
+// WithClock sets the clock; the system's is used without it.
+func WithClock(clock Clock) Option {
+	return func(j *Judge) { j.clock = clock }
+}
+
+// WithSettings sets where services, rules and overrides come from; without it
+// every service has the default rule and no floor.
+func WithSettings(settings Settings) Option {
+	return func(j *Judge) { j.settings = settings }
+}
+
+// WithEjections sets the agreed ejections; without it there are none.
+func WithEjections(ejections Ejections) Option {
+	return func(j *Judge) { j.ejections = ejections }
+}
+
+// WithDirectory sets where backend servers are found; without it the floor
+// is not kept and cold starts are not known.
+func WithDirectory(directory Directory) Option {
+	return func(j *Judge) { j.directory = directory }
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+type noSettings struct{}
+
+func (noSettings) Configuration() fleet.Configuration { return fleet.Configuration{} }
+
+type noEjections struct{}
+
+func (noEjections) Ejected(fleet.BackendID) (*cowsliptallyv1.Ejection, bool) { return nil, false }
+
+type noDirectory struct{}
+
+func (noDirectory) Backends(fleet.ServiceName) []fleet.Backend { return nil }
--- /dev/null
+++ b/judge/trial.go
@@ -0,0 +1,107 @@
+package judge
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// firstHold is how long a backend server gets only a trickle at first.
+	firstHold = 10 * time.Second
+	// longestHold bounds the hold of one that was degraded again and again.
+	longestHold = 10 * time.Minute
+	// goodTime is the time without fault after which the next hold is halved.
+	goodTime = 5 * time.Minute
+	// stageTime is the least time of one stage of the probation.
+	stageTime = 3 * time.Second
+	// stageResults is the least number of answers in one stage of the probation.
+	stageResults = 3
+	// relapseNats is the evidence that ends a probation.
+	relapseNats = 6.0
+	// trickleShare is the part of a fair share that a degraded backend server gets.
+	trickleShare = 0.02
+)
+
+// stageShares are the parts of a fair share during probation.
+var stageShares = [...]float64{0.1, 0.3, 0.6}
+
+// phase is the place of a trial.
+type phase uint8
+
+const (
+	phaseTrusted phase = iota
+	phaseHeld
+	phaseProbation
+)
+
+// trial is the node's own case against one backend server. One that was never
+// doubted has none.
+type trial struct {
+	service fleet.ServiceName
+	phase   phase
+	// since is the begin of the phase or stage.
+	since   time.Time
+	hold    time.Duration
+	stage   int
+	results int
+	// ejected is true while the fold holds an ejection.
+	ejected  bool
+	evidence Evidence
+}
+
+// share returns the part of a fair share that the phase allows.
+func (t *trial) share() float64 {
+	switch t.phase {
+	case phaseHeld:
+		return trickleShare
+	case phaseProbation:
+		return stageShares[t.stage]
+	default:
+		return 1
+	}
+}
+
+// degrade begins a hold; a repeated one lasts twice as long.
+func (t *trial) degrade(now time.Time, evidence Evidence) {
+	t.hold = t.nextHold(now)
+	t.phase = phaseHeld
+	t.since = now
+	t.evidence = evidence
+}
+
+// nextHold returns the length of a hold that begins now.
+func (t *trial) nextHold(now time.Time) time.Duration {
+	hold := t.hold * 2
+	if t.phase == phaseTrusted {
+		for good := now.Sub(t.since); good >= goodTime && hold > firstHold; good -= goodTime {
+			hold /= 2
+		}
+	}
+	return min(max(hold, firstHold), longestHold)
+}
+
+// probe begins the probation.
+func (t *trial) probe(now time.Time) {
+	t.phase = phaseProbation
+	t.since = now
+	t.stage = 0
+	t.results = 0
+}
+
+// advance goes to the next stage when this one lasted long enough; it returns
+// true at the end of the probation.
+func (t *trial) advance(now time.Time) bool {
+	if now.Sub(t.since) < stageTime || t.results < stageResults {
+		return false
+	}
+	t.since = now
+	t.results = 0
+	t.stage++
+	if t.stage < len(stageShares) {
+		return false
+	}
+	t.phase = phaseTrusted
+	t.stage = 0
+	return true
+}
--- /dev/null
+++ b/judge/verdict.go
@@ -0,0 +1,91 @@
+package judge
+
+import (
+	"slices"
+	"strings"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/floorkeeper"
+)
+
+// Health returns the state that the node gives a backend server.
+func (j *Judge) Health(id fleet.BackendID) fleet.Health {
+	health, _ := j.verdict(id)
+	return health
+}
+
+// Share returns the part of a fair share that a backend server may get, from 0 to 1.
+func (j *Judge) Share(id fleet.BackendID) float64 {
+	_, share := j.verdict(id)
+	return share
+}
+
+func (j *Judge) verdict(id fleet.BackendID) (fleet.Health, float64) {
+	override, found := j.settings.Configuration().Override(id)
+	if found && override.Decision == fleet.DecisionIn {
+		return fleet.Healthy, 1
+	}
+	if found && override.Decision == fleet.DecisionOut {
+		return fleet.Ejected, 0
+	}
+	ejection, ejected := j.ejections.Ejected(id)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t, tried := j.trials[id]
+	if ejected && !j.readmitted(id, fleet.ServiceName(ejection.GetService())) {
+		return fleet.Ejected, 0
+	}
+	if !tried || t.phase == phaseTrusted {
+		return fleet.Healthy, 1
+	}
+	return fleet.Degraded, t.share()
+}
+
+// Evidence returns what the node holds against the backend servers that it
+// degraded, sorted by name.
+func (j *Judge) Evidence() []Evidence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var list []Evidence
+	for _, t := range j.trials {
+		if t.phase == phaseHeld && t.evidence.Cause != CauseAdvised {
+			list = append(list, t.evidence)
+		}
+	}
+	slices.SortFunc(list, func(a, b Evidence) int {
+		return strings.Compare(string(a.Backend), string(b.Backend))
+	})
+	return list
+}
+
+// readmitted reports whether the floor of its service brings an ejected backend server back.
+func (j *Judge) readmitted(id fleet.BackendID, name fleet.ServiceName) bool {
+	service, _ := j.settings.Configuration().Service(name)
+	if service.MinHealthySlots == 0 {
+		return false
+	}
+	return slices.Contains(j.floor.Readmit(service.MinHealthySlots, j.candidates(name)), id)
+}
+
+// candidates returns the backend servers of a service as the floor sees them.
+func (j *Judge) candidates(name fleet.ServiceName) []floorkeeper.Candidate {
+	configuration := j.settings.Configuration()
+	backends := j.directory.Backends(name)
+	candidates := make([]floorkeeper.Candidate, 0, len(backends))
+	for _, backend := range backends {
+		override, _ := configuration.Override(backend.ID)
+		_, ejected := j.ejections.Ejected(backend.ID)
+		candidate := floorkeeper.Candidate{
+			Backend:   backend.ID,
+			Slots:     backend.Slots,
+			TakesWork: backend.TakesWork(),
+			Ejected:   ejected && override.Decision != fleet.DecisionIn,
+			Barred:    override.Decision == fleet.DecisionOut,
+		}
+		if t, found := j.trials[backend.ID]; found {
+			candidate.Nats = t.evidence.Nats
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
