--- /dev/null
+++ b/caller/exchange.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/standin/server"
+)
+
+// exchange sends one request and enters what came back in the record. A node
+// that accepts no connection is passed over, since the request never left.
+func (c *Caller) exchange(kind Kind, record *Record) {
+	if kind.Timeout == 0 {
+		kind.Timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), kind.Timeout+c.slack)
+	defer cancel()
+	body := bytes.Repeat([]byte("b"), max(kind.Size, 1))
+	record.Result = ResultUnsent
+	for _, node := range c.order() {
+		record.Node = node
+		response, err := c.client.Do(c.request(ctx, node, kind, record, body))
+		if isDialError(err) && ctx.Err() == nil {
+			continue
+		}
+		if err != nil {
+			record.Result = failure(ctx)
+			record.Reason = err.Error()
+			return
+		}
+		c.read(ctx, response, body, record)
+		return
+	}
+}
+
+// request builds one HTTP request. Its body cannot be rewound, so that the
+// client library never sends it a second time.
+func (c *Caller) request(ctx context.Context, node string, kind Kind, record *Record, body []byte) *http.Request {
+	url := "http://" + node + kind.Path
+	request, err := http.NewRequestWithContext(ctx, kind.Method, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		panic(err)
+	}
+	request.ContentLength = int64(len(body))
+	header := request.Header
+	header.Set(fleet.HeaderRequest, string(record.Request))
+	header.Set(fleet.HeaderTimeout, strconv.FormatInt(kind.Timeout.Milliseconds(), 10))
+	header.Set(fleet.HeaderIdempotent, strconv.FormatBool(kind.Idempotent))
+	if record.Key != "" {
+		header.Set(fleet.HeaderKey, record.Key)
+	}
+	if kind.Service != "" {
+		header.Set(fleet.HeaderService, string(kind.Service))
+	}
+	if kind.Work > 0 {
+		header.Set(server.HeaderWork, strconv.FormatInt(kind.Work.Microseconds(), 10))
+	}
+	if kind.AnswerSize > 0 {
+		header.Set(server.HeaderSize, strconv.Itoa(kind.AnswerSize))
+	}
+	return request
+}
+
+// read enters an answer in the record.
+func (c *Caller) read(ctx context.Context, response *http.Response, sent []byte, record *Record) {
+	defer response.Body.Close()
+	record.Status = response.StatusCode
+	record.Reason = response.Header.Get(fleet.HeaderReason)
+	record.Backend = response.Header.Get(fleet.HeaderBackend)
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		record.Result = failure(ctx)
+		record.Reason = err.Error()
+		return
+	}
+	switch fleet.Executed(response.Header.Get(fleet.HeaderExecuted)) {
+	case fleet.ExecutedNo:
+		record.Result = ResultRefused
+	case fleet.ExecutedUnknown:
+		record.Result = ResultUnknown
+	case fleet.ExecutedYes:
+		record.Result = ResultAnswered
+		judge(response, data, sent, record)
+	default:
+		record.Result = ResultBroken
+		record.Reason = "the answer tells no outcome"
+	}
+}
+
+// judge checks whether an answer is the request's own.
+func judge(response *http.Response, data, sent []byte, record *Record) {
+	if response.StatusCode >= http.StatusBadRequest {
+		record.Own = response.Header.Get(fleet.HeaderRequest) == string(record.Request)
+		return
+	}
+	var answer server.Answer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return
+	}
+	record.Own = answer.Request == string(record.Request) &&
+		answer.Sum == server.Sum(string(record.Request), sent)
+	record.Backend = answer.Backend
+	record.Served = time.Duration(answer.TookMicros) * time.Microsecond
+}
+
+func failure(ctx context.Context) Result {
+	if ctx.Err() != nil {
+		return ResultSilent
+	}
+	return ResultBroken
+}
+
+// isDialError reports whether no connection could be made at all.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/checker/checker_test.go
@@ -0,0 +1,80 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/caller"
+	"cowsliptally.example/cowsliptally/standin/server"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func answered(id string) caller.Record {
+	return caller.Record{
+		Request: "r-1", Node: "n", Sent: noon, Result: caller.ResultAnswered,
+		Status: 200, Own: true, Took: 6 * time.Millisecond, Served: 5 * time.Millisecond, Backend: id,
+	}
+}
+
+func ran(starts, finishes int) server.Entry {
+	return server.Entry{Request: "r-1", Backend: "b", Starts: starts, Finishes: finishes}
+}
+
+// Each case plants one fault, or the nearest good history.
+func TestCheckFindsEachFault(t *testing.T) {
+	other := answered("b")
+	other.Own = false
+	refused := answered("b")
+	refused.Result = caller.ResultRefused
+	silent := answered("b")
+	silent.Result = caller.ResultSilent
+	broken := answered("b")
+	broken.Result = caller.ResultBroken
+	late := broken
+	late.Sent = noon.Add(time.Minute)
+	keyed := answered("b")
+	keyed.Key = "k"
+	repeatable := answered("b")
+	repeatable.Idempotent = true
+	second := server.Entry{Request: "r-2", Key: "k", Backend: "c", Starts: 1, Finishes: 1}
+	first := server.Entry{Request: "r-1", Key: "k", Backend: "b", Starts: 1, Finishes: 1}
+	cases := []struct {
+		name              string
+		record            caller.Record
+		entries           []server.Entry
+		wrong, lost, more int
+	}{
+		{"good answer", answered("b"), []server.Entry{ran(1, 1)}, 0, 0, 0},
+		{"answer of another request", other, []server.Entry{ran(1, 1)}, 1, 0, 0},
+		{"refused but run", refused, []server.Entry{ran(1, 0)}, 1, 0, 0},
+		{"refused and not run", refused, nil, 0, 0, 0},
+		{"told run but not run", answered("b"), nil, 0, 1, 0},
+		{"answered but not finished", answered("b"), []server.Entry{ran(1, 0)}, 0, 1, 0},
+		{"told nothing", silent, nil, 0, 1, 0},
+		{"broken by a kill", broken, nil, 0, 0, 0},
+		{"broken by a node alive", late, nil, 0, 1, 0},
+		{"run twice", answered("b"), []server.Entry{ran(2, 2)}, 0, 0, 1},
+		{"idempotent run twice", repeatable, []server.Entry{ran(2, 2)}, 0, 0, 0},
+		{"key run twice", keyed, []server.Entry{first, second}, 0, 0, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			report := New(WithKilled("n", noon)).Check([]caller.Record{tc.record}, tc.entries)
+			is.Equal(report.Wrong, tc.wrong)
+			is.Equal(report.Lost, tc.lost)
+			is.Equal(report.Twice, tc.more)
+			is.Equal(report.Kept(), tc.wrong+tc.lost+tc.more == 0)
+		})
+	}
+}
+
+func TestReportLine(t *testing.T) {
+	is := is.New(t)
+	report := New().Check([]caller.Record{answered("b")}, []server.Entry{ran(1, 1)})
+	is.Equal(report.String(), "sent=1 answered=1 refused=0 unknown=0 wrong=0 lost=0 twice=0 "+
+		"added_p50_ms=1.00 added_p99_ms=1.00")
+}
--- /dev/null
+++ b/journal/fields.go
@@ -0,0 +1,53 @@
+package journal
+
+import (
+	"strconv"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// maxWord is the longest reason that becomes part of a counter's name, in bytes.
+const maxWord = 24
+
+// counterName returns the event's kind, with its reason when that is a single word.
+func counterName(event fleet.Event) string {
+	if !isWord(event.Reason) {
+		return string(event.Kind)
+	}
+	return string(event.Kind) + "." + event.Reason
+}
+
+// isWord reports whether a text is a short word of lower-case letters and
+// hyphens, so that the number of counters stays bounded.
+func isWord(text string) bool {
+	if text == "" || len(text) > maxWord {
+		return false
+	}
+	for _, r := range text {
+		if (r < 'a' || r > 'z') && r != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// fields returns the keys and values of an event's log line.
+func fields(event fleet.Event) []any {
+	pairs := []any{"node", event.Node, "sequence", event.Sequence}
+	if event.Service != "" {
+		pairs = append(pairs, "service", event.Service)
+	}
+	pairs = append(pairs, "subject", event.Subject)
+	if event.Reason != "" {
+		pairs = append(pairs, "reason", event.Reason)
+	}
+	for _, figure := range event.Figures {
+		pairs = append(pairs, figure.Name, formatFigure(figure))
+	}
+	return pairs
+}
+
+// formatFigure returns a figure's value followed by its unit.
+func formatFigure(figure fleet.Figure) string {
+	return strconv.FormatFloat(figure.Value, 'g', 6, 64) + figure.Unit
+}
--- /dev/null
+++ b/standin/server/answer.go
@@ -0,0 +1,26 @@
+package server
+
+import (
+	"encoding/hex"
+	"hash/fnv"
+)
+
+// Answer is the body of a good answer.
+type Answer struct {
+	Request string `json:"request"`
+	Backend string `json:"backend"`
+	// Sum is the checksum of the request's body and identifier.
+	Sum string `json:"sum"`
+	// TookMicros is the time in the slot, in microseconds.
+	TookMicros int64 `json:"took_us"`
+	// Filler brings the answer to the size asked for.
+	Filler string `json:"filler,omitempty"`
+}
+
+// Sum returns the checksum that an answer to a request must carry.
+func Sum(request string, body []byte) string {
+	hash := fnv.New128a()
+	hash.Write([]byte(request))
+	hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil))
+}
--- /dev/null
+++ b/standin/server/control.go
@@ -0,0 +1,49 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// health tells whether the server is well, unless a fault makes it lie.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	faults := s.active()
+	if faults.bad() && !faults.Lie {
+		http.Error(w, `{"status":"bad"}`, http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, map[string]string{"status": "ok"})
+}
+
+// load tells how many slots are in use.
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, map[string]int64{"running": s.running.Load(), "slots": int64(s.slots)})
+}
+
+func (s *Server) listLedger(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.ledger.Entries())
+}
+
+func (s *Server) takeFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	writeJSON(w, faults)
+}
+
+func (s *Server) takeDrain(w http.ResponseWriter, _ *http.Request) {
+	s.Drain()
+	writeJSON(w, map[string]string{"state": "draining"})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/standin/server/run.go
@@ -0,0 +1,183 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// HeaderSize asks for an answer of about this many bytes.
+	HeaderSize = "Standin-Size"
+	// HeaderWork asks for a median service time in microseconds.
+	HeaderWork = "Standin-Work"
+)
+
+// run executes one request in a slot.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body ended early", http.StatusBadRequest)
+		return
+	}
+	if s.running.Add(1) > int64(s.slots) {
+		s.running.Add(-1)
+		s.shed(w, r)
+		return
+	}
+	defer s.running.Add(-1)
+	request := r.Header.Get(fleet.HeaderRequest)
+	faults := s.active()
+	if err := s.enter(r, request, faults); err != nil {
+		http.Error(w, "ledger: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if faults.Crash != "" && hasMarker(r, body, faults.Crash) {
+		s.exit(2)
+	}
+	began := time.Now()
+	if !s.wait(r, faults) {
+		http.Error(w, "cancelled or out of time", http.StatusGatewayTimeout)
+		return
+	}
+	s.answer(w, r, body, time.Since(began), faults)
+}
+
+// shed refuses a request that finds no slot free.
+func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(fleet.HeaderRequest, r.Header.Get(fleet.HeaderRequest))
+	w.Header().Set(fleet.HeaderExecuted, string(fleet.ExecutedNo))
+	w.Header().Set(fleet.HeaderReason, string(fleet.ReasonBusy))
+	http.Error(w, "no free slot", http.StatusServiceUnavailable)
+}
+
+// enter writes the start of a run to the ledger, unless a fault falsifies it.
+func (s *Server) enter(r *http.Request, request string, faults Faults) error {
+	if s.chance(faults.Deny) {
+		return nil
+	}
+	key := r.Header.Get(fleet.HeaderKey)
+	idempotent := r.Header.Get(fleet.HeaderIdempotent) != "false"
+	if s.chance(faults.Double) {
+		if err := s.ledger.Start(request, key, idempotent); err != nil {
+			return err
+		}
+	}
+	return s.ledger.Start(request, key, idempotent)
+}
+
+// wait spends the service time; it returns false when the request was given up.
+func (s *Server) wait(r *http.Request, faults Faults) bool {
+	ctx := r.Context()
+	if limit, err := strconv.Atoi(r.Header.Get(fleet.HeaderTimeout)); err == nil {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(limit)*time.Millisecond)
+		defer cancel()
+		ctx = limited
+	}
+	if faults.Stuck {
+		<-ctx.Done()
+		return false
+	}
+	timer := time.NewTimer(s.serviceTime(r, faults))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) serviceTime(r *http.Request, faults Faults) time.Duration {
+	median := s.work
+	if micros, err := strconv.Atoi(r.Header.Get(HeaderWork)); err == nil {
+		median = time.Duration(micros) * time.Microsecond
+	}
+	s.mu.Lock()
+	noise := math.Exp(s.spread * s.random.NormFloat64())
+	s.mu.Unlock()
+	taken := float64(median) * noise
+	if faults.Slow > 1 {
+		taken *= faults.Slow
+	}
+	if time.Since(s.began) < s.cold {
+		taken *= coldFactor
+	}
+	return time.Duration(taken)
+}
+
+// answer ends a run, rightly or by a fault.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte, took time.Duration, faults Faults) {
+	request := r.Header.Get(fleet.HeaderRequest)
+	previous, _ := s.previous.Swap(request).(string)
+	switch {
+	case s.chance(faults.Errors):
+		w.Header().Set(fleet.HeaderRequest, request)
+		http.Error(w, "internal fault", http.StatusInternalServerError)
+		return
+	case s.chance(faults.Wrong):
+		s.write(w, r, previous, body, took, false)
+		return
+	case s.chance(faults.Cut):
+		s.write(w, r, request, body, took, true)
+		return
+	}
+	if err := s.ledger.Finish(request); err != nil {
+		http.Error(w, "ledger: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	s.write(w, r, request, body, took, false)
+}
+
+// write sends an answer to a request, or its first half when cut is set.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, request string, body []byte, took time.Duration, cut bool) {
+	answer := Answer{
+		Request: request, Backend: string(s.id), Sum: Sum(request, body), TookMicros: took.Microseconds(),
+	}
+	if size, err := strconv.Atoi(r.Header.Get(HeaderSize)); err == nil && size > 0 {
+		answer.Filler = strings.Repeat("x", size)
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Header().Set(fleet.HeaderRequest, request)
+	w.Header().Set(fleet.HeaderBackend, string(s.id))
+	if cut {
+		data = data[:len(data)/2]
+	}
+	if _, err := w.Write(data); err != nil || cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func hasMarker(r *http.Request, body []byte, marker string) bool {
+	return strings.Contains(r.URL.Path, marker) || bytes.Contains(body, []byte(marker))
+}
+
+// chance draws whether an event of a given share happens.
+func (s *Server) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < share
+}
+
+func (s *Server) active() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.active(time.Since(s.began))
+}
--- /dev/null
+++ b/standin/server/silencer.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// silencer is a listener whose open connections can be made silent for good.
+type silencer struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*silentConn]struct{}
+	limit int
+}
+
+func newSilencer(listener net.Listener, limit int) *silencer {
+	return &silencer{Listener: listener, conns: map[*silentConn]struct{}{}, limit: limit}
+}
+
+// Accept returns the next connection; those over the limit are closed.
+func (s *silencer) Accept() (net.Conn, error) {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tracked := &silentConn{Conn: conn, owner: s}
+		if s.add(tracked) {
+			return tracked, nil
+		}
+		if err := conn.Close(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *silencer) add(conn *silentConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.limit {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *silencer) remove(conn *silentConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Silence makes all open connections silent and returns their number.
+func (s *silencer) Silence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.silent.Store(true)
+	}
+	return len(s.conns)
+}
+
+// silentConn drops what is read and written once it is silent.
+type silentConn struct {
+	net.Conn
+	owner  *silencer
+	silent atomic.Bool
+}
+
+// Read returns data that arrived, or drops it while the connection is silent.
+func (c *silentConn) Read(data []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(data)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write sends data, or drops it while the connection is silent.
+func (c *silentConn) Write(data []byte) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Close closes the connection.
+func (c *silentConn) Close() error {
+	c.owner.remove(c)
+	return c.Conn.Close()
+}
