Add the launcher, the harness and a first demo

Cause: the demo and the failure tests need the same processes, faults and ledgers. Each VM is an IP of its own in 127.0.0.0/8 with ports under the range for outgoing connections: ports that are picked and closed first are sometimes taken by then. Not run yet: the daemon is not wired.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
-	"cowsliptally.example/cowsliptally/standin/server"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
 // exchange sends one request and enters what came back in the record. A node
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -7,7 +7,7 @@
 
 	"cowsliptally.example/cowsliptally/caller"
 	"cowsliptally.example/cowsliptally/fleet"
-	"cowsliptally.example/cowsliptally/standin/server"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
 // Checker judges records against ledgers.
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"cowsliptally.example/cowsliptally/caller"
-	"cowsliptally.example/cowsliptally/standin/server"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
 var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
--- /dev/null
+++ b/demo/workload.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"net/http"
+	"time"
+
+	"cowsliptally.example/cowsliptally/caller"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+const (
+	ledger fleet.ServiceName = "ledger"
+	intake fleet.ServiceName = "intake"
+
+	ledgerServers = 9
+	intakeServers = 4
+	slots         = 4
+	// The floors leave room to set aside a third of the Ledger and one server of Intake.
+	ledgerFloor = 24
+	intakeFloor = 12
+
+	photographBytes = 64 << 10
+	timeout         = 2 * time.Second
+)
+
+// zones returns Gyeonggi's availability zones.
+func zones() []fleet.Zone { return []fleet.Zone{"suwon", "yongin", "hwaseong"} }
+
+// kinds returns the requests that callers send.
+func kinds() []caller.Kind {
+	return []caller.Kind{
+		{Name: "history", Method: http.MethodGet, Path: "/ledger/history", Share: 60, Idempotent: true, AnswerSize: 2 << 10, Timeout: timeout},
+		{Name: "booking", Method: http.MethodPost, Path: "/ledger/bookings", Share: 15, Size: 512, Timeout: timeout},
+		{Name: "refund", Method: http.MethodPost, Path: "/ledger/refunds", Share: 10, Size: 256, Timeout: timeout},
+		{Name: "photograph", Method: http.MethodPut, Path: "/intake/photographs", Share: 10, Idempotent: true, Size: photographBytes, Timeout: timeout},
+		{Name: "quality", Method: http.MethodGet, Path: "/intake/quality", Share: 5, Idempotent: true, Timeout: timeout},
+	}
+}
+
+// configuration returns the changes that create the two services and their routes.
+func configuration() []*cowsliptallyv1.Change {
+	changes := []*cowsliptallyv1.Change{
+		putService(fleet.Service{Name: ledger, MinHealthySlots: ledgerFloor, Rule: fleet.NewRule(fleet.LeanSteady)}),
+		putService(fleet.Service{Name: intake, MinHealthySlots: intakeFloor, Rule: fleet.NewRule(fleet.LeanSteady)}),
+	}
+	for _, kind := range kinds() {
+		route := fleet.Route{
+			Name: string(kind.Name), Service: serviceOf(kind), Method: kind.Method, PathPrefix: kind.Path,
+			Kind: kind.Name, Weight: 1, Idempotent: kind.Idempotent, Timeout: kind.Timeout,
+		}
+		changes = append(changes, &cowsliptallyv1.Change{
+			Edit: &cowsliptallyv1.Change_PutRoute{PutRoute: translator.RouteToMessage(route)},
+		})
+	}
+	return changes
+}
+
+func putService(service fleet.Service) *cowsliptallyv1.Change {
+	return &cowsliptallyv1.Change{
+		Edit: &cowsliptallyv1.Change_PutService{PutService: translator.ServiceToMessage(service)},
+	}
+}
+
+func serviceOf(kind caller.Kind) fleet.ServiceName {
+	if kind.Name == "photograph" || kind.Name == "quality" {
+		return intake
+	}
+	return ledger
+}
--- /dev/null
+++ b/harness/control.go
@@ -0,0 +1,89 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"cowsliptally.example/cowsliptally/standin/backend/server"
+)
+
+// pollPeriod is the time between two looks at a state that is waited for.
+const pollPeriod = 50 * time.Millisecond
+
+// LogFaults says how the log service's stand-in misbehaves.
+type LogFaults struct {
+	Down bool `json:"down"`
+	// Slow delays every answer, in milliseconds.
+	Slow int `json:"slow"`
+	// Lose is how many appends take effect without an answer.
+	Lose int `json:"lose"`
+	// Retain is how many records a stream keeps; 0 keeps all.
+	Retain int `json:"retain"`
+}
+
+// StartLog starts the log service's stand-in and waits until it answers.
+func (h *Harness) StartLog() error {
+	process, err := h.launcher.Start("logservice", h.program("logservice"), "--listen", h.logAddress())
+	if err != nil {
+		return err
+	}
+	h.log = process
+	return h.Await("the log service answers", callTimeout, func() bool {
+		response, err := h.client.Get("http://" + h.logAddress() + "/stats")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// SetLogFaults replaces the faults of the log service's stand-in.
+func (h *Harness) SetLogFaults(faults LogFaults) error {
+	return h.post("http://"+h.logAddress()+"/faults", faults)
+}
+
+// SetFaults replaces the faults of a VM's backend server.
+func (h *Harness) SetFaults(vm *VM, faults server.Faults) error {
+	return h.post("http://"+vm.BackendAddress+"/faults", faults)
+}
+
+// Drain takes a VM's backend server out of its service.
+func (h *Harness) Drain(vm *VM) error {
+	return h.post("http://"+vm.BackendAddress+"/drain", struct{}{})
+}
+
+// Await polls a condition until it holds or the timeout passes.
+func (h *Harness) Await(what string, timeout time.Duration, holds func() bool) error {
+	end := time.Now().Add(timeout)
+	for !holds() {
+		if time.Now().After(end) {
+			return newError("await", KindTimeout, "not within %s: %s", timeout, what)
+		}
+		time.Sleep(pollPeriod)
+	}
+	return nil
+}
+
+func (h *Harness) logAddress() string { return h.network.address(1, logPort) }
+
+// post sends a JSON command to a stand-in.
+func (h *Harness) post(url string, command any) error {
+	body, err := json.Marshal(command)
+	if err != nil {
+		return err
+	}
+	response, err := h.client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return newError("post", KindRefused, "%s answered %d: %s", url, response.StatusCode, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/harness/harness.go
@@ -0,0 +1,188 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/launcher"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
+)
+
+const (
+	// seedPeers is how many earlier nodes a new node is told of.
+	seedPeers = 3
+	// callTimeout bounds one call to a process of the fleet.
+	callTimeout = 5 * time.Second
+	region      = "korea"
+)
+
+// Harness is a fleet of processes.
+type Harness struct {
+	binaries  string
+	directory string
+	network   network
+	launcher  *launcher.Launcher
+	client    *http.Client
+	log       *launcher.Process
+	nodeFlags []string
+
+	mu      sync.Mutex
+	vms     []*VM
+	numbers int
+}
+
+// Option changes a setting of a harness.
+type Option func(*Harness)
+
+// WithNodeFlags adds flags to the command line of every node.
+func WithNodeFlags(flags ...string) Option {
+	return func(h *Harness) { h.nodeFlags = append(h.nodeFlags, flags...) }
+}
+
+// New returns a harness that takes programs from binaries and writes logs and
+// ledgers to directory.
+func New(binaries, directory string, options ...Option) (*Harness, error) {
+	picked, err := pickNetwork()
+	if err != nil {
+		return nil, err
+	}
+	h := &Harness{
+		binaries: binaries, directory: directory, network: picked,
+		launcher: launcher.New(directory), client: &http.Client{Timeout: callTimeout}, numbers: 1,
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h, nil
+}
+
+// Stop ends every process; an error tells of those that had to be killed.
+func (h *Harness) Stop() error { return h.launcher.Stop() }
+
+// Running returns the names of the processes that still run.
+func (h *Harness) Running() []string { return h.launcher.Running() }
+
+// VMs returns the VMs started so far, also those that have ended.
+func (h *Harness) VMs() []*VM {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]*VM(nil), h.vms...)
+}
+
+// CallerAddresses returns the caller addresses of the nodes that run.
+func (h *Harness) CallerAddresses() []string {
+	var addresses []string
+	for _, vm := range h.VMs() {
+		if !vm.Node.HasEnded() {
+			addresses = append(addresses, vm.CallerAddress)
+		}
+	}
+	return addresses
+}
+
+// StartVM starts a node and the backend server beside it.
+func (h *Harness) StartVM(service fleet.ServiceName, zone fleet.Zone, backendFlags ...string) (*VM, error) {
+	vm := h.reserve(service, zone)
+	node, err := h.launcher.Start(vm.NodeName(), h.program("cowsliptally"), h.nodeArguments(vm)...)
+	if err != nil {
+		return nil, err
+	}
+	vm.Node = node
+	if err := h.StartBackend(vm, backendFlags...); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.vms = append(h.vms, vm)
+	return vm, nil
+}
+
+// StartBackend starts the backend server of a VM, also again after its end.
+func (h *Harness) StartBackend(vm *VM, flags ...string) error {
+	arguments := []string{
+		"--id", string(vm.BackendID()), "--service", string(vm.Service),
+		"--address", vm.BackendAddress, "--node", vm.PeerAddress,
+		"--ledger", h.ledgerFile(vm), "--seed", fmt.Sprint(vm.Number),
+	}
+	arguments = append(arguments, flags...)
+	process, err := h.launcher.Start(string(vm.BackendID()), h.program("backend"), arguments...)
+	if err != nil {
+		return err
+	}
+	vm.Backend = process
+	return nil
+}
+
+// Entries reads the ledgers of all backend servers, also of those that have ended.
+func (h *Harness) Entries() ([]server.Entry, error) {
+	var entries []server.Entry
+	for _, vm := range h.VMs() {
+		read, err := readLedgerFile(h.ledgerFile(vm))
+		if err != nil {
+			return nil, newError("read ledger", KindLedger, "%s: %w", vm.BackendID(), err)
+		}
+		entries = append(entries, read...)
+	}
+	return entries, nil
+}
+
+// reserve picks the name, number and addresses of a new VM.
+func (h *Harness) reserve(service fleet.ServiceName, zone fleet.Zone) *VM {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.numbers++
+	number := h.numbers
+	return &VM{
+		Name: fmt.Sprintf("%s-%d", service, number), Service: service, Zone: zone, Number: number,
+		CallerAddress:  h.network.address(number, callerPort),
+		PeerAddress:    h.network.address(number, peerPort),
+		BackendAddress: h.network.address(number, backendPort),
+	}
+}
+
+func (h *Harness) nodeArguments(vm *VM) []string {
+	arguments := []string{
+		"node", "--name", vm.NodeName(), "--caller-address", vm.CallerAddress,
+		"--peer-address", vm.PeerAddress, "--zone", string(vm.Zone), "--region", region,
+		"--log", "http://" + h.logAddress(),
+	}
+	if peers := h.peers(); len(peers) > 0 {
+		arguments = append(arguments, "--peers", strings.Join(peers, ","))
+	}
+	return append(arguments, h.nodeFlags...)
+}
+
+// peers returns the peer addresses of some nodes that run.
+func (h *Harness) peers() []string {
+	var addresses []string
+	for _, vm := range h.VMs() {
+		if !vm.Node.HasEnded() && len(addresses) < seedPeers {
+			addresses = append(addresses, vm.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+func (h *Harness) program(name string) string { return filepath.Join(h.binaries, name) }
+
+func (h *Harness) ledgerFile(vm *VM) string {
+	return filepath.Join(h.directory, string(vm.BackendID())+".ledger")
+}
+
+func readLedgerFile(path string) ([]server.Entry, error) {
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return server.ReadLedger(bytes.NewReader(data))
+}
--- /dev/null
+++ b/harness/operate.go
@@ -0,0 +1,75 @@
+package harness
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+)
+
+// Operator returns a client of a node's OperatorService.
+func (h *Harness) Operator(vm *VM) cowsliptallyv1connect.OperatorServiceClient {
+	return cowsliptallyv1connect.NewOperatorServiceClient(h.client, "http://"+vm.PeerAddress)
+}
+
+// Journal returns a client of a node's JournalService.
+func (h *Harness) Journal(vm *VM) cowsliptallyv1connect.JournalServiceClient {
+	return cowsliptallyv1connect.NewJournalServiceClient(h.client, "http://"+vm.PeerAddress)
+}
+
+// Propose asks a node for changes on top of the revision that it has in force.
+func (h *Harness) Propose(ctx context.Context, vm *VM, changes ...*cowsliptallyv1.Change) (*cowsliptallyv1.Verdict, error) {
+	client := h.Operator(vm)
+	current, err := client.GetConfiguration(ctx, connect.NewRequest(&cowsliptallyv1.GetConfigurationRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	proposal := &cowsliptallyv1.Proposal{
+		Operation:    uuid.Must(uuid.NewV7()).String(),
+		BaseRevision: current.Msg.GetConfiguration().GetRevision(),
+		Author:       "harness",
+		Changes:      changes,
+		TimeUnixNano: time.Now().UnixNano(),
+	}
+	response, err := client.Propose(ctx, connect.NewRequest(&cowsliptallyv1.ProposeRequest{Proposal: proposal}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetVerdict(), nil
+}
+
+// Status returns a node's view of the fleet.
+func (h *Harness) Status(vm *VM) (*cowsliptallyv1.GetStatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	response, err := h.Journal(vm).GetStatus(ctx, connect.NewRequest(&cowsliptallyv1.GetStatusRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// AwaitReady waits until every node that runs has a revision in force and knows
+// a number of backend servers that take work.
+func (h *Harness) AwaitReady(revision uint64, backends int, timeout time.Duration) error {
+	var last string
+	err := h.Await("every node is ready", timeout, func() bool {
+		for _, vm := range h.VMs() {
+			if vm.Node.HasEnded() {
+				continue
+			}
+			if last = h.unready(vm, revision, backends); last != "" {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return newError("await ready", KindTimeout, "%w: %s", err, last)
+	}
+	return nil
+}
--- /dev/null
+++ b/harness/vm.go
@@ -0,0 +1,43 @@
+package harness
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/launcher"
+)
+
+// VM is one machine: a node and the backend server beside it.
+type VM struct {
+	Name    string
+	Service fleet.ServiceName
+	Zone    fleet.Zone
+	// Number is the VM's place in the network, from 1.
+	Number  int
+	Node    *launcher.Process
+	Backend *launcher.Process
+	// CallerAddress, PeerAddress and BackendAddress are IP:PORT.
+	CallerAddress  string
+	PeerAddress    string
+	BackendAddress string
+}
+
+// BackendID returns the identifier of the backend server.
+func (v *VM) BackendID() fleet.BackendID { return fleet.BackendID(v.Name + "-backend") }
+
+// NodeName returns the name of the node.
+func (v *VM) NodeName() string { return v.Name + "-node" }
+
+// Kill ends the node and the backend server without notice.
+func (v *VM) Kill() {
+	v.Node.Kill()
+	v.Backend.Kill()
+}
+
+// Retire ends the backend server and then the node gracefully.
+func (v *VM) Retire(timeout time.Duration) error {
+	if err := v.Backend.Terminate(timeout); err != nil {
+		return err
+	}
+	return v.Node.Terminate(timeout)
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,86 @@
+package launcher
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+)
+
+// endTimeout bounds the graceful end of one process when all are stopped.
+const endTimeout = 5 * time.Second
+
+// Launcher starts processes and ends all that still run.
+type Launcher struct {
+	directory string
+
+	mu        sync.Mutex
+	processes []*Process
+	stopped   bool
+}
+
+// New returns a launcher that writes each process's output to directory/NAME.log.
+func New(directory string) *Launcher {
+	return &Launcher{directory: directory}
+}
+
+// Start runs a program in a process of its own.
+func (l *Launcher) Start(name, program string, arguments ...string) (*Process, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		return nil, newError("start", KindStopped, "%s: the launcher has stopped", name)
+	}
+	output, err := os.OpenFile(filepath.Join(l.directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, newError("start", KindOutput, "%s: %w", name, err)
+	}
+	command := exec.Command(program, arguments...)
+	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = ownGroup()
+	if err := command.Start(); err != nil {
+		return nil, newError("start", KindStart, "%s: %w", name, errors.Join(err, output.Close()))
+	}
+	process := &Process{name: name, command: command, ended: make(chan struct{})}
+	l.processes = append(l.processes, process)
+	go process.wait(output)
+	return process, nil
+}
+
+// Stop ends every process that still runs, gracefully at first, and waits for
+// it. It returns what went wrong with those that had to be killed.
+func (l *Launcher) Stop() error {
+	l.mu.Lock()
+	l.stopped = true
+	running := slices.Clone(l.processes)
+	l.mu.Unlock()
+	var ends sync.WaitGroup
+	failures := make([]error, len(running))
+	for i, process := range running {
+		if process.HasEnded() {
+			continue
+		}
+		ends.Go(func() {
+			process.Thaw()
+			failures[i] = process.Terminate(endTimeout)
+		})
+	}
+	ends.Wait()
+	return errors.Join(failures...)
+}
+
+// Running returns the names of the processes that still run.
+func (l *Launcher) Running() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for _, process := range l.processes {
+		if !process.HasEnded() {
+			names = append(names, process.name)
+		}
+	}
+	return names
+}
--- a/standin/backend/main.go
+++ b/standin/backend/main.go
@@ -14,7 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"cowsliptally.example/cowsliptally/fleet"
-	"cowsliptally.example/cowsliptally/standin/server"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
 type settings struct {
--- a/standin/server/faults.go
+++ b/standin/backend/server/faults.go
@@ -22,6 +22,9 @@
 	Crash string `json:"crash"`
 	// Silent makes the connections open now go silent for good; new ones work.
 	Silent bool `json:"silent"`
+	// Forge is the share of answers that carry a false checksum, which only the
+	// caller can tell.
+	Forge float64 `json:"forge"`
 	// Deny leaves requests out of the ledger: a fault of the stand-in itself,
 	// with which the checker is seen to fail.
 	Deny float64 `json:"deny"`
--- a/standin/server/run.go
+++ b/standin/backend/server/run.go
@@ -142,6 +142,9 @@
 	answer := Answer{
 		Request: request, Backend: string(s.id), Sum: Sum(request, body), TookMicros: took.Microseconds(),
 	}
+	if s.chance(s.active().Forge) {
+		answer.Sum = Sum(request, nil) + "0"
+	}
 	if size, err := strconv.Atoi(r.Header.Get(HeaderSize)); err == nil && size > 0 {
 		answer.Filler = strings.Repeat("x", size)
 	}
