--- a/standin/backend/server/run.go
+++ b/standin/backend/server/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -160,7 +161,11 @@
 	if cut {
 		data = data[:len(data)/2]
 	}
-	if _, err := w.Write(data); err != nil || cut {
+	_, err = w.Write(data)
+	if err == nil && cut {
+		err = errors.Join(http.NewResponseController(w).Flush(), http.ErrAbortHandler)
+	}
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
