--- a/fleet/header.go
+++ b/fleet/header.go
@@ -36,4 +36,10 @@
 	HeaderRevision = "Cowsliptally-Revision"
 	// HeaderLength carries the length of the answer's body in bytes between nodes.
 	HeaderLength = "Cowsliptally-Length"
+	// HeaderTicket carries the owner's own time stamp, echoed by the next attempts to it.
+	HeaderTicket = "Cowsliptally-Ticket"
+	// HeaderWeight carries the worth of the request between nodes.
+	HeaderWeight = "Cowsliptally-Weight"
+	// HeaderIdentity carries the request's identity between nodes, the same for each re-sending.
+	HeaderIdentity = "Cowsliptally-Identity"
 )
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -48,6 +48,8 @@
 	ReasonNotReady Reason = "notready"
 	// ReasonBadRequest means that a header of the request has a wrong value.
 	ReasonBadRequest Reason = "badrequest"
+	// ReasonTicket means that the owner could no longer tell a late attempt from a new one.
+	ReasonTicket Reason = "ticket"
 )
 
 // Reasons lists every reason.
@@ -57,5 +59,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonGuard,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonSilent,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
+		ReasonTicket,
 	}
 }
--- a/gen/cowsliptally/v1/cowsliptallyv1connect/request.connect.go
+++ b/gen/cowsliptally/v1/cowsliptallyv1connect/request.connect.go
@@ -38,6 +38,8 @@
 	RequestServiceSealProcedure = "/cowsliptally.v1.RequestService/Seal"
 	// RequestServiceGrantProcedure is the fully-qualified name of the RequestService's Grant RPC.
 	RequestServiceGrantProcedure = "/cowsliptally.v1.RequestService/Grant"
+	// RequestServiceReleaseProcedure is the fully-qualified name of the RequestService's Release RPC.
+	RequestServiceReleaseProcedure = "/cowsliptally.v1.RequestService/Release"
 	// RequestServiceSuspectProcedure is the fully-qualified name of the RequestService's Suspect RPC.
 	RequestServiceSuspectProcedure = "/cowsliptally.v1.RequestService/Suspect"
 )
@@ -48,6 +50,8 @@
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	// Grant lets an idempotency key run once.
 	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
+	// Release gives a granted key back: the request did not run and never will.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Suspect reports that a backend server died with these requests in its slots.
 	Suspect(context.Context, *connect.Request[v1.SuspectRequest]) (*connect.Response[v1.SuspectResponse], error)
 }
@@ -75,6 +79,12 @@
 			connect.WithSchema(requestServiceMethods.ByName("Grant")),
 			connect.WithClientOptions(opts...),
 		),
+		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
+			httpClient,
+			baseURL+RequestServiceReleaseProcedure,
+			connect.WithSchema(requestServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 		suspect: connect.NewClient[v1.SuspectRequest, v1.SuspectResponse](
 			httpClient,
 			baseURL+RequestServiceSuspectProcedure,
@@ -88,6 +98,7 @@
 type requestServiceClient struct {
 	seal    *connect.Client[v1.SealRequest, v1.SealResponse]
 	grant   *connect.Client[v1.GrantRequest, v1.GrantResponse]
+	release *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	suspect *connect.Client[v1.SuspectRequest, v1.SuspectResponse]
 }
 
@@ -101,6 +112,11 @@
 	return c.grant.CallUnary(ctx, req)
 }
 
+// Release calls cowsliptally.v1.RequestService.Release.
+func (c *requestServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
 // Suspect calls cowsliptally.v1.RequestService.Suspect.
 func (c *requestServiceClient) Suspect(ctx context.Context, req *connect.Request[v1.SuspectRequest]) (*connect.Response[v1.SuspectResponse], error) {
 	return c.suspect.CallUnary(ctx, req)
@@ -112,6 +128,8 @@
 	Seal(context.Context, *connect.Request[v1.SealRequest]) (*connect.Response[v1.SealResponse], error)
 	// Grant lets an idempotency key run once.
 	Grant(context.Context, *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error)
+	// Release gives a granted key back: the request did not run and never will.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Suspect reports that a backend server died with these requests in its slots.
 	Suspect(context.Context, *connect.Request[v1.SuspectRequest]) (*connect.Response[v1.SuspectResponse], error)
 }
@@ -135,6 +153,12 @@
 		connect.WithSchema(requestServiceMethods.ByName("Grant")),
 		connect.WithHandlerOptions(opts...),
 	)
+	requestServiceReleaseHandler := connect.NewUnaryHandler(
+		RequestServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(requestServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	requestServiceSuspectHandler := connect.NewUnaryHandler(
 		RequestServiceSuspectProcedure,
 		svc.Suspect,
@@ -147,6 +171,8 @@
 			requestServiceSealHandler.ServeHTTP(w, r)
 		case RequestServiceGrantProcedure:
 			requestServiceGrantHandler.ServeHTTP(w, r)
+		case RequestServiceReleaseProcedure:
+			requestServiceReleaseHandler.ServeHTTP(w, r)
 		case RequestServiceSuspectProcedure:
 			requestServiceSuspectHandler.ServeHTTP(w, r)
 		default:
@@ -166,6 +192,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowsliptally.v1.RequestService.Grant is not implemented"))
 }
 
+func (UnimplementedRequestServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowsliptally.v1.RequestService.Release is not implemented"))
+}
+
 func (UnimplementedRequestServiceHandler) Suspect(context.Context, *connect.Request[v1.SuspectRequest]) (*connect.Response[v1.SuspectResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowsliptally.v1.RequestService.Suspect is not implemented"))
 }
