--- /dev/null
+++ b/admitter/decision.go
@@ -0,0 +1,23 @@
+package admitter
+
+import "cowsliptally.example/cowsliptally/fleet"
+
+// Action is what to do with a request.
+type Action uint8
+
+const (
+	// Run gives the request a slot.
+	Run Action = iota + 1
+	// Wait leaves the request in the queue; a later decision follows.
+	Wait
+	// Refuse turns the request away, never having run.
+	Refuse
+)
+
+// Decision is the fate of one request.
+type Decision struct {
+	ID     ID
+	Action Action
+	// Reason is set when the request is refused.
+	Reason fleet.Reason
+}
--- /dev/null
+++ b/collector/content.go
@@ -0,0 +1,33 @@
+package collector
+
+import "cowsliptally.example/cowsliptally/accountant"
+
+// Content is a body in memory.
+type Content struct {
+	bytes      []byte
+	reserved   int64
+	accountant *accountant.Accountant
+}
+
+// Bytes returns the body; it must not be used after Release.
+func (c *Content) Bytes() []byte { return c.bytes }
+
+// Release gives the memory back; further calls do nothing.
+func (c *Content) Release() {
+	c.accountant.Release(c.reserved)
+	c.reserved = 0
+	c.bytes = nil
+}
+
+// grow makes room for at least one more byte and at most bound bytes in all.
+func (c *Content) grow(bound int64) bool {
+	size := min(bound, max(firstSize, 2*c.reserved))
+	if !c.accountant.Reserve(size) {
+		return false
+	}
+	grown := make([]byte, len(c.bytes), size)
+	copy(grown, c.bytes)
+	c.accountant.Release(c.reserved)
+	c.bytes, c.reserved = grown, size
+	return true
+}
--- /dev/null
+++ b/dispatcher/answer.go
@@ -0,0 +1,39 @@
+package dispatcher
+
+import (
+	"net/http"
+	"strconv"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/refuser"
+)
+
+// refuse answers an attempt that got no answer from its backend server.
+func (d *Dispatcher) refuse(w http.ResponseWriter, c call, outcome fleet.Outcome, message string) {
+	d.describe(w.Header(), c)
+	refuser.Refuse(w, refuser.Refusal{
+		Request:  c.request,
+		Executed: outcome.Executed,
+		Reason:   outcome.Reason,
+		Message:  message,
+	})
+}
+
+// describe adds what every answer of an owner carries.
+func (d *Dispatcher) describe(header http.Header, c call) {
+	header.Set(fleet.HeaderRequest, string(c.request))
+	header.Set(fleet.HeaderBackend, string(c.backend))
+	header.Set(fleet.HeaderTicket, d.sealer.Ticket())
+	revision := d.configurations.Configuration().Revision()
+	header.Set(fleet.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+	d.mu.Lock()
+	g := d.gates[c.backend]
+	d.mu.Unlock()
+	if g == nil {
+		return
+	}
+	running, waiting := g.load()
+	header.Set(fleet.HeaderInFlight, strconv.Itoa(running))
+	header.Set(fleet.HeaderQueued, strconv.Itoa(waiting))
+	header.Set(fleet.HeaderSlots, strconv.Itoa(g.slotCount()))
+}
--- /dev/null
+++ b/dispatcher/attempt.go
@@ -0,0 +1,192 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/scrubber"
+	"cowsliptally.example/cowsliptally/sealer"
+)
+
+// attempt is one attempt on its way through the owner.
+type attempt struct {
+	dispatcher *Dispatcher
+	call       call
+	backend    fleet.Backend
+	gate       *gate
+	request    *http.Request
+	content    []byte
+}
+
+// serve waits for a slot, dispatches the attempt and answers it.
+func (a *attempt) serve(ctx context.Context, w http.ResponseWriter) {
+	beats := startHeartbeat(w, a.dispatcher.clock, a.dispatcher.heartbeat)
+	id, reason := a.gate.enter(ctx, a.call)
+	if reason != "" {
+		beats.stop()
+		a.dispatcher.refuse(w, a.call, refused(reason), "the request got no slot")
+		return
+	}
+	if reason := a.begin(ctx); reason != "" {
+		a.gate.leave(id, a.call.kind, 0)
+		beats.stop()
+		a.dispatcher.refuse(w, a.call, refused(reason), "the request was stopped before it was dispatched")
+		return
+	}
+	start := a.dispatcher.clock.Now()
+	result := a.run(ctx)
+	took := a.dispatcher.clock.Since(start)
+	beats.stop()
+	defer result.close()
+	a.observe(result, took)
+	if result.outcome.Executed != fleet.ExecutedYes {
+		a.gate.leave(id, a.call.kind, 0)
+		a.dispatcher.refuse(w, a.call, result.outcome, result.message)
+		return
+	}
+	if result.whole {
+		a.gate.leave(id, a.call.kind, max(took, 1))
+		a.answer(w, result, took)
+		return
+	}
+	defer a.gate.leave(id, a.call.kind, 0)
+	a.answer(w, result, took)
+}
+
+// begin checks all that may have changed while the attempt waited, then counts it as dispatched.
+func (a *attempt) begin(ctx context.Context) fleet.Reason {
+	if ctx.Err() != nil {
+		return endReason(ctx)
+	}
+	if _, reason := a.dispatcher.available(a.call); reason != "" {
+		return reason
+	}
+	switch a.dispatcher.sealer.Begin(a.call.sealing()) {
+	case sealer.Begun:
+		return ""
+	case sealer.Sealed:
+		return fleet.ReasonSealed
+	case sealer.Duplicate:
+		return fleet.ReasonDuplicate
+	default:
+		return fleet.ReasonTicket
+	}
+}
+
+// run sends the request to the backend server and holds its answer as far as the bound allows.
+func (a *attempt) run(ctx context.Context) *result {
+	exchange, err := a.dispatcher.pooler.Send(ctx, a.backend.Address, a.outgoing(ctx), a.content)
+	if err != nil {
+		return a.failed(ctx, exchange, err)
+	}
+	response := exchange.Response
+	if echoed := response.Header.Get(fleet.HeaderRequest); echoed != "" && echoed != string(a.call.request) {
+		exchange.Close()
+		message := fmt.Sprintf("the backend server answered request %q", echoed)
+		return &result{outcome: unknown(fleet.ReasonBroken), message: message}
+	}
+	if !delimited(response) {
+		exchange.Close()
+		return &result{outcome: unknown(fleet.ReasonBroken), message: "the answer's length is not told"}
+	}
+	content, whole, err := a.dispatcher.answers.CollectPart(response.Body, response.ContentLength)
+	if err != nil {
+		exchange.Close()
+		return a.lost(ctx, err)
+	}
+	return &result{
+		outcome:  fleet.Outcome{Executed: fleet.ExecutedYes},
+		exchange: exchange,
+		content:  content,
+		whole:    whole,
+	}
+}
+
+// outgoing returns the request for the backend server.
+func (a *attempt) outgoing(ctx context.Context) *http.Request {
+	r := a.request.Clone(ctx)
+	scrubber.Connection(r.Header)
+	scrubber.Node(r.Header)
+	if _, found := r.Header["User-Agent"]; !found {
+		r.Header["User-Agent"] = nil
+	}
+	remaining := a.call.deadline.Sub(a.dispatcher.clock.Now())
+	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	r.Header.Set(fleet.HeaderAttempt, strconv.Itoa(a.call.attempt))
+	r.Header.Set(fleet.HeaderBackend, string(a.backend.ID))
+	r.RequestURI = ""
+	r.URL.Scheme = "http"
+	r.URL.Host = a.backend.Address
+	r.URL.Path = strings.TrimPrefix(r.URL.Path, PathPrefix)
+	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, PathPrefix)
+	return r
+}
+
+// failed says what became of an attempt whose exchange ended without an answer.
+func (a *attempt) failed(ctx context.Context, exchange *pooler.Exchange, err error) *result {
+	if exchange.Sent {
+		return a.lost(ctx, err)
+	}
+	a.dispatcher.sealer.Undo(a.call.sealing())
+	reason := fleet.ReasonConnect
+	switch {
+	case ctx.Err() != nil:
+		reason = endReason(ctx)
+	case fault.KindOf[pooler.Kind](err) == pooler.KindDial:
+		a.dispatcher.locals.Crashed(a.backend.ID)
+	}
+	return &result{outcome: refused(reason), message: err.Error()}
+}
+
+// lost says what became of an attempt that reached the backend server.
+func (a *attempt) lost(ctx context.Context, err error) *result {
+	if ctx.Err() != nil {
+		return &result{outcome: unknown(endReason(ctx)), message: "the time limit passed or the caller left"}
+	}
+	if !a.crashed() {
+		return &result{outcome: unknown(fleet.ReasonBroken), message: err.Error()}
+	}
+	return &result{outcome: unknown(fleet.ReasonCrash), message: "the backend server died"}
+}
+
+// crashed tells whether the backend server died, and reports the requests in its slots if so.
+func (a *attempt) crashed() bool {
+	d := a.dispatcher
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := d.pooler.Probe(ctx, a.backend.Address)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	d.locals.Crashed(a.backend.ID)
+	d.crash(a.backend, append(a.gate.identities(), a.call.identity))
+	return true
+}
+
+// observe gives the result to the judges of health.
+func (a *attempt) observe(r *result, took time.Duration) {
+	a.dispatcher.observer.Observe(fleet.Sample{
+		At:          a.dispatcher.clock.Now(),
+		Service:     a.backend.Service,
+		Backend:     a.backend.ID,
+		Kind:        a.call.kind,
+		Class:       r.class(),
+		ServiceTime: took,
+	})
+}
+
+// delimited reports whether the end of an answer can be told from a lost connection.
+func delimited(r *http.Response) bool {
+	if r.ContentLength >= 0 {
+		return true
+	}
+	return len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
+}
--- /dev/null
+++ b/dispatcher/call.go
@@ -0,0 +1,69 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/sealer"
+)
+
+// call is one attempt as its ingress described it.
+type call struct {
+	request      fleet.RequestID
+	backend      fleet.BackendID
+	kind         fleet.RequestKind
+	organisation fleet.Organisation
+	identity     string
+	ticket       string
+	attempt      int
+	weight       int
+	idempotent   bool
+	deadline     time.Time
+}
+
+// parseCall reads the headers between nodes.
+func parseCall(header http.Header, now time.Time) (call, error) {
+	c := call{
+		request:      fleet.RequestID(header.Get(fleet.HeaderRequest)),
+		backend:      fleet.BackendID(header.Get(fleet.HeaderBackend)),
+		kind:         fleet.RequestKind(header.Get(fleet.HeaderKind)),
+		organisation: fleet.Organisation(header.Get(fleet.HeaderOrganisation)),
+		identity:     header.Get(fleet.HeaderIdentity),
+		ticket:       header.Get(fleet.HeaderTicket),
+		idempotent:   header.Get(fleet.HeaderIdempotent) == "true",
+	}
+	if c.request == "" || c.backend == "" {
+		return call{}, fmt.Errorf("headers %s and %s are needed", fleet.HeaderRequest, fleet.HeaderBackend)
+	}
+	attempt, err := number(header, fleet.HeaderAttempt)
+	if err != nil {
+		return call{}, err
+	}
+	timeout, err := number(header, fleet.HeaderTimeout)
+	if err != nil {
+		return call{}, err
+	}
+	weight, err := number(header, fleet.HeaderWeight)
+	if err != nil {
+		return call{}, err
+	}
+	c.attempt, c.weight = attempt, weight
+	c.deadline = now.Add(time.Duration(timeout) * time.Millisecond)
+	return c, nil
+}
+
+// sealing returns the attempt as the sealer names it.
+func (c call) sealing() sealer.Attempt {
+	return sealer.Attempt{Request: c.request, Number: c.attempt, Ticket: c.ticket, Once: !c.idempotent}
+}
+
+func number(header http.Header, name string) (int, error) {
+	value, err := strconv.Atoi(header.Get(name))
+	if err != nil || value < 0 {
+		return 0, fmt.Errorf("header %s is %q, not a whole number from 0", name, header.Get(name))
+	}
+	return value, nil
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,197 @@
+// Package dispatcher is the owner's side of the request path: it admits attempts
+// to the backend servers of its VM, dispatches them and says with proof whether
+// they ran.
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/collector"
+	"cowsliptally.example/cowsliptally/drainer"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/sealer"
+)
+
+// PathPrefix starts the paths of requests between nodes.
+const PathPrefix = "/dispatch"
+
+// Dispatcher serves the requests that other nodes send to this owner. It is an
+// http.Handler for PathPrefix and the handler of the request service.
+type Dispatcher struct {
+	node           fleet.NodeID
+	locals         Locals
+	clock          clockwork.Clock
+	configurations Configurations
+	observer       Observer
+	recorder       Recorder
+	suspects       Suspects
+	sealer         *sealer.Sealer
+	guard          *guard.Guard
+	poisoner       *poisoner.Poisoner
+	pooler         *pooler.Pooler
+	memory         *accountant.Accountant
+	bodies         *collector.Collector
+	answers        *collector.Collector
+	bodyBound      int64
+	answerBound    int64
+	heartbeat      time.Duration
+	drainer        *drainer.Drainer
+	usage          *admitter.Usage
+
+	mu    sync.Mutex
+	gates map[fleet.BackendID]*gate
+}
+
+// New returns the dispatcher of a node.
+func New(node fleet.NodeID, locals Locals, options ...Option) *Dispatcher {
+	d := &Dispatcher{
+		node:           node,
+		locals:         locals,
+		clock:          clockwork.NewRealClock(),
+		configurations: none{},
+		observer:       none{},
+		recorder:       none{},
+		suspects:       none{},
+		bodyBound:      DefaultBodyBound,
+		answerBound:    DefaultAnswerBound,
+		heartbeat:      DefaultHeartbeat,
+		drainer:        drainer.New(),
+		usage:          admitter.NewUsage(),
+		gates:          make(map[fleet.BackendID]*gate),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	d.complete()
+	return d
+}
+
+// complete makes the parts that no option gave.
+func (d *Dispatcher) complete() {
+	if d.sealer == nil {
+		d.sealer = sealer.New(d.node, d.clock)
+	}
+	if d.guard == nil {
+		d.guard = guard.New(d.node, d.clock)
+	}
+	if d.poisoner == nil {
+		d.poisoner = poisoner.New(d.clock)
+	}
+	if d.pooler == nil {
+		d.pooler = pooler.New(pooler.WithClock(d.clock))
+	}
+	if d.memory == nil {
+		d.memory = accountant.New(DefaultMemory)
+	}
+	d.bodies = collector.New(d.memory, d.bodyBound)
+	d.answers = collector.New(d.memory, d.answerBound)
+}
+
+// InFlight returns the requests that run on a backend server.
+func (d *Dispatcher) InFlight(id fleet.BackendID) int {
+	d.mu.Lock()
+	g := d.gates[id]
+	d.mu.Unlock()
+	if g == nil {
+		return 0
+	}
+	running, _ := g.load()
+	return running
+}
+
+// Drain refuses all new attempts; those in slots go on.
+func (d *Dispatcher) Drain() {
+	d.drainer.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, g := range d.gates {
+		g.close()
+	}
+}
+
+// Shutdown drains and waits until nothing is in flight.
+func (d *Dispatcher) Shutdown(ctx context.Context) error {
+	d.Drain()
+	err := d.drainer.Wait(ctx)
+	d.pooler.Close()
+	return err
+}
+
+// ServeHTTP serves one attempt.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, err := parseCall(r.Header, d.clock.Now())
+	if err != nil {
+		d.refuse(w, c, refused(fleet.ReasonBadRequest), err.Error())
+		return
+	}
+	if !d.drainer.Enter() {
+		d.refuse(w, c, refused(fleet.ReasonDraining), "the node shuts down")
+		return
+	}
+	defer d.drainer.Leave()
+	if !d.sealer.Fresh(c.ticket) {
+		d.refuse(w, c, refused(fleet.ReasonTicket), "the ticket is too old")
+		return
+	}
+	backend, reason := d.available(c)
+	if reason != "" {
+		d.refuse(w, c, refused(reason), "the backend server takes no work")
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	content, err := d.bodies.Collect(r.Body, r.ContentLength)
+	if err != nil {
+		d.refuse(w, c, refused(bodyReason(err)), err.Error())
+		return
+	}
+	defer content.Release()
+	a := &attempt{dispatcher: d, call: c, backend: backend, gate: d.gate(backend), request: r, content: content.Bytes()}
+	a.serve(ctx, w)
+}
+
+// available returns the backend server of a call, or why it takes no work.
+func (d *Dispatcher) available(c call) (fleet.Backend, fleet.Reason) {
+	backend, found := d.locals.Backend(c.backend)
+	if !found || backend.State == fleet.BackendGone {
+		return backend, fleet.ReasonGone
+	}
+	if !backend.TakesWork() {
+		return backend, fleet.ReasonDraining
+	}
+	return backend, ""
+}
+
+// gate returns the gate of a backend server.
+func (d *Dispatcher) gate(backend fleet.Backend) *gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g, found := d.gates[backend.ID]
+	if !found {
+		d.sweep()
+		g = newGate(backend.Slots, d.usage, d.clock)
+		d.gates[backend.ID] = g
+	}
+	g.resize(backend.Slots)
+	return g
+}
+
+// sweep forgets the gates of backend servers that are gone.
+func (d *Dispatcher) sweep() {
+	for id, g := range d.gates {
+		running, waiting := g.load()
+		if _, found := d.locals.Backend(id); !found && running+waiting == 0 {
+			delete(d.gates, id)
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/gate.go
@@ -0,0 +1,162 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// gate guards the slots of one backend server.
+type gate struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	admitter *admitter.Admitter
+	slots    int
+	last     admitter.ID
+	waiters  map[admitter.ID]chan admitter.Decision
+	// running holds the identities of the requests in slots.
+	running map[admitter.ID]string
+}
+
+func newGate(slots int, usage *admitter.Usage, clock clockwork.Clock) *gate {
+	return &gate{
+		clock:    clock,
+		admitter: admitter.New(slots, admitter.WithUsage(usage)),
+		slots:    slots,
+		waiters:  make(map[admitter.ID]chan admitter.Decision),
+		running:  make(map[admitter.ID]string),
+	}
+}
+
+// enter waits for a slot. It returns a reason when there will be none.
+func (g *gate) enter(ctx context.Context, c call) (admitter.ID, fleet.Reason) {
+	id, decided := g.arrive(c)
+	select {
+	case decision := <-decided:
+		if decision.Action == admitter.Run {
+			g.occupy(id, c.identity)
+		}
+		return id, decision.Reason
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case decision := <-decided:
+		if decision.Action == admitter.Run {
+			g.free(id, c.kind, 0)
+		}
+	default:
+		delete(g.waiters, id)
+		g.admitter.Cancel(id)
+	}
+	return id, endReason(ctx)
+}
+
+// occupy notes which request is in a slot.
+func (g *gate) occupy(id admitter.ID, identity string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[id] = identity
+}
+
+// leave frees a slot; took is 0 when the request did not run to its end.
+func (g *gate) leave(id admitter.ID, kind fleet.RequestKind, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.free(id, kind, took)
+}
+
+// close refuses all that waits.
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.admitter.Close())
+}
+
+// resize follows the announced slots.
+func (g *gate) resize(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slots != g.slots {
+		g.slots = slots
+		g.deliver(g.admitter.Resize(slots, g.clock.Now()))
+	}
+}
+
+// load returns the requests in slots and in the queue.
+func (g *gate) load() (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Running(), g.admitter.Waiting()
+}
+
+// identities returns the identities of the requests in slots.
+func (g *gate) identities() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]string, 0, len(g.running))
+	for _, identity := range g.running {
+		all = append(all, identity)
+	}
+	return all
+}
+
+func (g *gate) arrive(c call) (admitter.ID, chan admitter.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.last++
+	decided := make(chan admitter.Decision, 1)
+	g.waiters[g.last] = decided
+	g.deliver(g.admitter.Arrive(admitter.Request{
+		ID:           g.last,
+		Kind:         c.kind,
+		Organisation: c.organisation,
+		Weight:       c.weight,
+		Deadline:     c.deadline,
+	}, g.clock.Now()))
+	return g.last, decided
+}
+
+func (g *gate) free(id admitter.ID, kind fleet.RequestKind, took time.Duration) {
+	delete(g.running, id)
+	if took == 0 {
+		g.deliver(g.admitter.Abandon(id, g.clock.Now()))
+		return
+	}
+	g.deliver(g.admitter.Done(id, kind, took, g.clock.Now()))
+}
+
+// deliver tells waiters their fate.
+func (g *gate) deliver(decisions []admitter.Decision) {
+	for _, decision := range decisions {
+		if decision.Action == admitter.Wait {
+			continue
+		}
+		if decided, found := g.waiters[decision.ID]; found {
+			decided <- decision
+			delete(g.waiters, decision.ID)
+		}
+	}
+}
+
+// endReason says whether a context ended by its deadline or by its caller.
+func endReason(ctx context.Context) fleet.Reason {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return fleet.ReasonDeadline
+	}
+	return fleet.ReasonCancelled
+}
+
+// slotCount returns the announced slots.
+func (g *gate) slotCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slots
+}
--- /dev/null
+++ b/dispatcher/option.go
@@ -0,0 +1,96 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/sealer"
+)
+
+const (
+	// DefaultBodyBound is the largest request body in bytes.
+	DefaultBodyBound = 8 << 20
+	// DefaultAnswerBound is the largest answer in bytes that is held until it is whole.
+	DefaultAnswerBound = 1 << 20
+	// DefaultMemory bounds the bytes of all bodies at a time.
+	DefaultMemory = 24 << 20
+	// DefaultHeartbeat is the spacing of the signs of life sent while a request runs.
+	DefaultHeartbeat = 250 * time.Millisecond
+	// probeTimeout bounds the fresh connection that tells a crash from a lost connection.
+	probeTimeout = 250 * time.Millisecond
+	// reportTimeout bounds the wait for peers to hear of a crash before the caller does.
+	reportTimeout = 250 * time.Millisecond
+)
+
+// Option changes a part or setting of a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(d *Dispatcher) { d.clock = clock }
+}
+
+// WithConfigurations sets the source of the configuration revision.
+func WithConfigurations(configurations Configurations) Option {
+	return func(d *Dispatcher) { d.configurations = configurations }
+}
+
+// WithObserver sets what takes the results of attempts.
+func WithObserver(observer Observer) Option {
+	return func(d *Dispatcher) { d.observer = observer }
+}
+
+// WithRecorder sets what takes events.
+func WithRecorder(recorder Recorder) Option {
+	return func(d *Dispatcher) { d.recorder = recorder }
+}
+
+// WithSuspects sets what tells other nodes about suspects.
+func WithSuspects(suspects Suspects) Option {
+	return func(d *Dispatcher) { d.suspects = suspects }
+}
+
+// WithSealer sets the record of dispatched and sealed attempts.
+func WithSealer(s *sealer.Sealer) Option {
+	return func(d *Dispatcher) { d.sealer = s }
+}
+
+// WithGuard sets the guard of idempotency keys.
+func WithGuard(g *guard.Guard) Option {
+	return func(d *Dispatcher) { d.guard = g }
+}
+
+// WithPoisoner sets the record of suspects.
+func WithPoisoner(p *poisoner.Poisoner) Option {
+	return func(d *Dispatcher) { d.poisoner = p }
+}
+
+// WithPooler sets the connections to backend servers.
+func WithPooler(p *pooler.Pooler) Option {
+	return func(d *Dispatcher) { d.pooler = p }
+}
+
+// WithMemory sets the bound of all bodies, shared with other parts of the node.
+func WithMemory(a *accountant.Accountant) Option {
+	return func(d *Dispatcher) { d.memory = a }
+}
+
+// WithBodyBound sets the largest request body in bytes.
+func WithBodyBound(bound int64) Option {
+	return func(d *Dispatcher) { d.bodyBound = bound }
+}
+
+// WithAnswerBound sets the largest answer in bytes that is held until it is whole.
+func WithAnswerBound(bound int64) Option {
+	return func(d *Dispatcher) { d.answerBound = bound }
+}
+
+// WithHeartbeat sets the spacing of the signs of life sent while a request runs.
+func WithHeartbeat(spacing time.Duration) Option {
+	return func(d *Dispatcher) { d.heartbeat = spacing }
+}
--- /dev/null
+++ b/dispatcher/part.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"context"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// Locals knows the backend servers of this VM.
+type Locals interface {
+	Backend(fleet.BackendID) (fleet.Backend, bool)
+	// Crashed is told that connections to a backend server are refused.
+	Crashed(fleet.BackendID)
+}
+
+// Configurations knows the configuration in force.
+type Configurations interface {
+	Configuration() fleet.Configuration
+}
+
+// Observer takes the results of attempts.
+type Observer interface {
+	Observe(fleet.Sample)
+}
+
+// Recorder takes events.
+type Recorder interface {
+	Record(fleet.Event)
+}
+
+// Suspects tells the other nodes about requests that may crash backend servers.
+type Suspects interface {
+	// Report tells that a backend server died with these identities in its slots.
+	Report(ctx context.Context, backend fleet.BackendID, identities []string)
+	// Clear tells that a suspect ran to its end.
+	Clear(ctx context.Context, identity string)
+}
+
+// none stands in for parts that were not given.
+type none struct{}
+
+func (none) Observe(fleet.Sample)                              {}
+func (none) Record(fleet.Event)                                {}
+func (none) Report(context.Context, fleet.BackendID, []string) {}
+func (none) Clear(context.Context, string)                     {}
+func (none) Configuration() fleet.Configuration                { return fleet.Configuration{} }
--- /dev/null
+++ b/dispatcher/requests.go
@@ -0,0 +1,63 @@
+package dispatcher
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/sealer"
+)
+
+// Seal makes sure that an attempt not yet dispatched never will be.
+func (d *Dispatcher) Seal(_ context.Context, r *connect.Request[cowsliptallyv1.SealRequest]) (*connect.Response[cowsliptallyv1.SealResponse], error) {
+	sealed := d.sealer.Seal(sealer.Attempt{
+		Request: fleet.RequestID(r.Msg.GetRequest()),
+		Number:  int(r.Msg.GetAttempt()),
+		Ticket:  r.Msg.GetTicket(),
+	})
+	if sealed {
+		d.recorder.Record(fleet.NewEvent(fleet.EventSealed, r.Msg.GetRequest(), string(fleet.ReasonSealed)))
+	}
+	return connect.NewResponse(&cowsliptallyv1.SealResponse{Sealed: sealed}), nil
+}
+
+// Grant lets an idempotency key, or the trial run of a suspect, run once.
+func (d *Dispatcher) Grant(_ context.Context, r *connect.Request[cowsliptallyv1.GrantRequest]) (*connect.Response[cowsliptallyv1.GrantResponse], error) {
+	verdict := d.guard.Grant(fleet.ServiceName(r.Msg.GetService()), r.Msg.GetKey(), r.Msg.GetRequest())
+	response := &cowsliptallyv1.GrantResponse{Granted: verdict.Granted, Reason: string(verdict.Reason)}
+	return connect.NewResponse(response), nil
+}
+
+// Release takes a granted key back.
+func (d *Dispatcher) Release(_ context.Context, r *connect.Request[cowsliptallyv1.ReleaseRequest]) (*connect.Response[cowsliptallyv1.ReleaseResponse], error) {
+	d.guard.Release(fleet.ServiceName(r.Msg.GetService()), r.Msg.GetKey(), r.Msg.GetRequest())
+	return connect.NewResponse(&cowsliptallyv1.ReleaseResponse{}), nil
+}
+
+// Suspect takes another node's report of a crash.
+func (d *Dispatcher) Suspect(_ context.Context, r *connect.Request[cowsliptallyv1.SuspectRequest]) (*connect.Response[cowsliptallyv1.SuspectResponse], error) {
+	d.blame(fleet.NodeID(r.Msg.GetNode()), fleet.BackendID(r.Msg.GetBackend()), r.Msg.GetIdentities())
+	for _, identity := range r.Msg.GetCleared() {
+		d.poisoner.Clear(identity)
+	}
+	return connect.NewResponse(&cowsliptallyv1.SuspectResponse{}), nil
+}
+
+// crash records a crash of a backend server of this VM and tells the other nodes.
+func (d *Dispatcher) crash(backend fleet.Backend, identities []string) {
+	d.recorder.Record(fleet.NewEvent(fleet.EventCrash, string(backend.ID), string(fleet.ReasonCrash),
+		fleet.Figure{Name: "suspects", Value: float64(len(identities))}).WithService(backend.Service))
+	d.blame(d.node, backend.ID, identities)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	d.suspects.Report(ctx, backend.ID, identities)
+}
+
+// blame enters a crash and records the identities that became poison by it.
+func (d *Dispatcher) blame(reporter fleet.NodeID, backend fleet.BackendID, identities []string) {
+	for _, identity := range d.poisoner.Crash(reporter, backend, identities) {
+		d.recorder.Record(fleet.NewEvent(fleet.EventPoison, identity, string(fleet.ReasonPoison)))
+	}
+}
--- /dev/null
+++ b/dispatcher/stream.go
@@ -0,0 +1,47 @@
+package dispatcher
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/scrubber"
+)
+
+// answer passes the backend server's answer on. A failure after its head breaks
+// the connection, so that the ingress cannot take a part for the whole.
+func (a *attempt) answer(w http.ResponseWriter, r *result, took time.Duration) {
+	response := r.exchange.Response
+	scrubber.Connection(response.Header)
+	scrubber.Node(response.Header)
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	a.dispatcher.describe(header, a.call)
+	header.Set(fleet.HeaderExecuted, string(fleet.ExecutedYes))
+	header.Set(fleet.HeaderServiceTime, strconv.FormatInt(took.Microseconds(), 10))
+	length := response.ContentLength
+	if r.whole && a.request.Method != http.MethodHead {
+		length = int64(len(r.content.Bytes()))
+	}
+	if length >= 0 {
+		header.Set(fleet.HeaderLength, strconv.FormatInt(length, 10))
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(response.StatusCode)
+	if a.request.Method == http.MethodHead {
+		return
+	}
+	if _, err := w.Write(r.content.Bytes()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.whole {
+		return
+	}
+	if _, err := io.Copy(w, response.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/forwarder/answer.go
@@ -0,0 +1,86 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/scrubber"
+)
+
+const (
+	// copySize is the size of the parts in which a large answer is streamed, in bytes.
+	copySize = 32 << 10
+	// maxDrain bounds what is read of a refusal's body to keep the connection, in bytes.
+	maxDrain = 4 << 10
+)
+
+// answer gives an answer to the caller. An answer that is not whole yet is
+// streamed; its failure breaks the connection.
+func (f *Forwarder) answer(w http.ResponseWriter, s *submission, r *result) {
+	response := r.exchange.Response
+	length := response.ContentLength
+	scrubber.Connection(response.Header)
+	scrubber.Node(response.Header)
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	header.Set(fleet.HeaderRequest, string(s.id))
+	header.Set(fleet.HeaderExecuted, string(fleet.ExecutedYes))
+	if r.whole && s.request.Method != http.MethodHead && length < 0 {
+		length = int64(len(r.content.Bytes()))
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	f.limitWriting(w)
+	w.WriteHeader(response.StatusCode)
+	if s.request.Method == http.MethodHead {
+		return
+	}
+	f.stream(w, r)
+}
+
+// stream writes the body; each part must get through within the write timeout.
+func (f *Forwarder) stream(w http.ResponseWriter, r *result) {
+	part := r.content.Bytes()
+	buffer := make([]byte, 0)
+	if !r.whole {
+		buffer = make([]byte, copySize)
+	}
+	for {
+		f.limitWriting(w)
+		if _, err := w.Write(part); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if r.whole {
+			return
+		}
+		n, err := r.exchange.Response.Body.Read(buffer)
+		part = buffer[:n]
+		if err == nil {
+			continue
+		}
+		if _, writeErr := w.Write(part); writeErr != nil || err != io.EOF {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+}
+
+// sameLength reports whether a held answer has the length that its owner announced.
+func sameLength(header http.Header, method string, content []byte) bool {
+	announced := header.Get(fleet.HeaderLength)
+	if announced == "" || method == http.MethodHead {
+		return true
+	}
+	length, err := strconv.Atoi(announced)
+	return err == nil && length == len(content)
+}
+
+// drain reads the rest of a small body, so that its connection can be used again.
+func drain(body io.Reader) {
+	_, _ = io.CopyN(io.Discard, body, maxDrain)
+}
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,218 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/scrubber"
+)
+
+// maxTickets bounds how often an attempt is sent anew for want of a fresh ticket.
+const maxTickets = 3
+
+// attempt sends a submission to the owner of a backend server once.
+func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int) *result {
+	owner, found := f.directory.Member(backend.Owner)
+	if !found {
+		return refused(fleet.ReasonGone, "the owner of the backend server is not known")
+	}
+	f.picker.Begin(backend.ID)
+	defer f.picker.End(backend.ID)
+	start := f.clock.Now()
+	var r *result
+	for range maxTickets {
+		r = f.send(ctx, s, backend, owner, number)
+		if r.outcome.Reason != fleet.ReasonTicket {
+			break
+		}
+	}
+	f.observe(s, backend, r, f.clock.Since(start))
+	return r
+}
+
+func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int) *result {
+	if ctx.Err() != nil {
+		return refused(endReason(ctx), "the time limit passed before the request was sent")
+	}
+	ticket := f.tickets.get(owner.ID)
+	request := f.outgoing(ctx, s, backend, owner, number, ticket)
+	exchange, err := f.pooler.Send(ctx, owner.PeerAddress, request, s.content.Bytes())
+	if err != nil {
+		return f.unanswered(ctx, s, owner, number, ticket, exchange, err)
+	}
+	return f.received(ctx, s, backend, exchange)
+}
+
+// outgoing returns the request for an owner.
+func (f *Forwarder) outgoing(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, ticket string) *http.Request {
+	r := s.request.Clone(ctx)
+	scrubber.Connection(r.Header)
+	scrubber.Node(r.Header)
+	if _, found := r.Header["User-Agent"]; !found {
+		r.Header["User-Agent"] = nil
+	}
+	remaining := s.deadline.Sub(f.clock.Now())
+	r.Header.Set(fleet.HeaderRequest, string(s.id))
+	r.Header.Set(fleet.HeaderBackend, string(backend.ID))
+	r.Header.Set(fleet.HeaderAttempt, strconv.Itoa(number))
+	r.Header.Set(fleet.HeaderKind, string(s.kind))
+	r.Header.Set(fleet.HeaderWeight, strconv.Itoa(s.weight))
+	r.Header.Set(fleet.HeaderIdempotent, strconv.FormatBool(s.idempotent))
+	r.Header.Set(fleet.HeaderIdentity, s.identity)
+	r.Header.Set(fleet.HeaderTicket, ticket)
+	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	r.RequestURI = ""
+	r.URL.Scheme = "http"
+	r.URL.Host = owner.PeerAddress
+	if r.URL.RawPath != "" {
+		r.URL.RawPath = dispatcher.PathPrefix + r.URL.RawPath
+	}
+	r.URL.Path = dispatcher.PathPrefix + r.URL.Path
+	return r
+}
+
+// unanswered says what became of an attempt whose exchange ended without an answer:
+// the owner is asked to seal it over a fresh connection.
+func (f *Forwarder) unanswered(ctx context.Context, s *submission, owner fleet.Member, number int, ticket string, exchange *pooler.Exchange, err error) *result {
+	reason := failureReason(ctx, err)
+	if !exchange.Sent {
+		return refused(reason, err.Error())
+	}
+	if reason == fleet.ReasonSilent {
+		f.pooler.Renew(owner.PeerAddress)
+		f.recorder.Record(fleet.NewEvent(fleet.EventSilent, string(owner.ID), string(reason)))
+	}
+	if reason == fleet.ReasonCancelled && !s.granted {
+		return unknown(reason, "the caller left")
+	}
+	sealing, cancel := context.WithTimeout(context.WithoutCancel(ctx), sealTimeout)
+	defer cancel()
+	sealed, sealErr := f.peers.seal(sealing, owner.PeerAddress, s.id, number, ticket)
+	r := unknown(reason, err.Error())
+	if sealed {
+		r = refused(reason, err.Error())
+	}
+	r.blameless = sealErr == nil && reason == fleet.ReasonSilent
+	return r
+}
+
+// received checks the head of an owner's answer and holds its body.
+func (f *Forwarder) received(ctx context.Context, s *submission, backend fleet.Backend, exchange *pooler.Exchange) *result {
+	response := exchange.Response
+	header := response.Header
+	f.tickets.put(backend.Owner, header.Get(fleet.HeaderTicket))
+	if header.Get(fleet.HeaderRequest) != string(s.id) {
+		exchange.Close()
+		return unknown(fleet.ReasonBroken, fmt.Sprintf("the owner answered request %q", header.Get(fleet.HeaderRequest)))
+	}
+	f.report(backend, header)
+	if executed := fleet.Executed(header.Get(fleet.HeaderExecuted)); executed != fleet.ExecutedYes {
+		return f.refusedByOwner(exchange, executed)
+	}
+	content, whole, err := f.answers.CollectPart(response.Body, response.ContentLength)
+	if err != nil {
+		exchange.Close()
+		if ctx.Err() != nil {
+			return unknown(endReason(ctx), err.Error())
+		}
+		return unknown(fleet.ReasonBroken, err.Error())
+	}
+	r := &result{
+		outcome:  fleet.Outcome{Executed: fleet.ExecutedYes},
+		exchange: exchange,
+		content:  content,
+		whole:    whole,
+	}
+	if microseconds, err := strconv.ParseInt(header.Get(fleet.HeaderServiceTime), 10, 64); err == nil {
+		r.serviceTime = time.Duration(microseconds) * time.Microsecond
+	}
+	if whole && !sameLength(header, s.request.Method, content.Bytes()) {
+		r.close()
+		return unknown(fleet.ReasonBroken, "the answer's length is not the announced one")
+	}
+	return r
+}
+
+// refusedByOwner reads why an owner gives no answer of its backend server.
+func (f *Forwarder) refusedByOwner(exchange *pooler.Exchange, executed fleet.Executed) *result {
+	defer exchange.Close()
+	reason := fleet.Reason(exchange.Response.Header.Get(fleet.HeaderReason))
+	drain(exchange.Response.Body)
+	switch {
+	case executed == fleet.ExecutedNo && reason != "":
+		return refused(reason, "the owner refused the request")
+	case executed == fleet.ExecutedUnknown && reason != "":
+		return unknown(reason, "the owner lost the request")
+	default:
+		return unknown(fleet.ReasonBroken, "the answer does not come from an owner")
+	}
+}
+
+// report passes the load that came with an answer to the picker.
+func (f *Forwarder) report(backend fleet.Backend, header http.Header) {
+	inFlight, err := strconv.Atoi(header.Get(fleet.HeaderInFlight))
+	if err != nil {
+		return
+	}
+	queued, err := strconv.Atoi(header.Get(fleet.HeaderQueued))
+	if err != nil {
+		return
+	}
+	slots, err := strconv.Atoi(header.Get(fleet.HeaderSlots))
+	if err != nil {
+		return
+	}
+	f.picker.Report(fleet.Load{
+		Backend:  backend.ID,
+		InFlight: inFlight,
+		Queued:   queued,
+		Slots:    slots,
+		At:       f.clock.Now(),
+	})
+}
+
+// observe gives the result to the judges of health, unless only a connection was at fault.
+func (f *Forwarder) observe(s *submission, backend fleet.Backend, r *result, took time.Duration) {
+	if r.blameless {
+		return
+	}
+	f.observer.Observe(fleet.Sample{
+		At:          f.clock.Now(),
+		Service:     s.service,
+		Backend:     backend.ID,
+		Kind:        s.kind,
+		Class:       r.class(),
+		ServiceTime: r.serviceTime,
+		PathTime:    max(took, 1),
+	})
+}
+
+// failureReason says why an exchange ended without an answer.
+func failureReason(ctx context.Context, err error) fleet.Reason {
+	if ctx.Err() != nil {
+		return endReason(ctx)
+	}
+	switch fault.KindOf[pooler.Kind](err) {
+	case pooler.KindSilent:
+		return fleet.ReasonSilent
+	case pooler.KindDial:
+		return fleet.ReasonConnect
+	default:
+		return fleet.ReasonBroken
+	}
+}
+
+// endReason says whether a context ended by its deadline or by its caller.
+func endReason(ctx context.Context) fleet.Reason {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return fleet.ReasonDeadline
+	}
+	return fleet.ReasonCancelled
+}
--- /dev/null
+++ b/forwarder/class.go
@@ -0,0 +1,29 @@
+package forwarder
+
+import (
+	"net/http"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// class says what a result tells of the backend server and the path to it.
+func (r *result) class() fleet.Class {
+	if r.answered() {
+		if r.exchange.Response.StatusCode >= http.StatusInternalServerError {
+			return fleet.ClassError
+		}
+		return fleet.ClassOK
+	}
+	switch r.outcome.Reason {
+	case fleet.ReasonConnect, fleet.ReasonCrash:
+		return fleet.ClassUnreachable
+	case fleet.ReasonBroken:
+		return fleet.ClassBroken
+	case fleet.ReasonDeadline, fleet.ReasonSilent:
+		return fleet.ClassTimeout
+	case fleet.ReasonCancelled:
+		return fleet.ClassCancelled
+	default:
+		return fleet.ClassRefused
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,229 @@
+// Package forwarder is the ingress of the request path: it takes callers' requests,
+// sends them to the owners of backend servers and gives each caller the whole
+// answer to its own request or a clear error.
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/collector"
+	"cowsliptally.example/cowsliptally/drainer"
+	"cowsliptally.example/cowsliptally/fault"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/limiter"
+	"cowsliptally.example/cowsliptally/matcher"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/refuser"
+	"cowsliptally.example/cowsliptally/retrier"
+)
+
+// Forwarder serves callers at any node. It is an http.Handler.
+type Forwarder struct {
+	node           fleet.NodeID
+	configurations Configurations
+	directory      Directory
+	picker         Picker
+	clock          clockwork.Clock
+	observer       Observer
+	recorder       Recorder
+	retrier        *retrier.Retrier
+	limiter        *limiter.Limiter
+	guard          *guard.Guard
+	poisoner       *poisoner.Poisoner
+	pooler         *pooler.Pooler
+	memory         *accountant.Accountant
+	bodies         *collector.Collector
+	answers        *collector.Collector
+	bodyBound      int64
+	answerBound    int64
+	timeout        time.Duration
+	writeTimeout   time.Duration
+	drainer        *drainer.Drainer
+	tickets        *tickets
+	peers          *peers
+	routes         atomic.Pointer[matcher.Matcher]
+}
+
+// New returns the forwarder of a node.
+func New(node fleet.NodeID, configurations Configurations, directory Directory, picker Picker, options ...Option) *Forwarder {
+	f := &Forwarder{
+		node:           node,
+		configurations: configurations,
+		directory:      directory,
+		picker:         picker,
+		clock:          clockwork.NewRealClock(),
+		observer:       none{},
+		recorder:       none{},
+		bodyBound:      DefaultBodyBound,
+		answerBound:    DefaultAnswerBound,
+		timeout:        DefaultTimeout,
+		writeTimeout:   DefaultWriteTimeout,
+		drainer:        drainer.New(),
+		tickets:        newTickets(),
+		peers:          newPeers(),
+	}
+	for _, option := range options {
+		option(f)
+	}
+	f.complete()
+	return f
+}
+
+// complete makes the parts that no option gave.
+func (f *Forwarder) complete() {
+	if f.retrier == nil {
+		f.retrier = retrier.New()
+	}
+	if f.limiter == nil {
+		f.limiter = limiter.New(f.clock)
+	}
+	if f.guard == nil {
+		f.guard = guard.New(f.node, f.clock)
+	}
+	if f.poisoner == nil {
+		f.poisoner = poisoner.New(f.clock)
+	}
+	if f.pooler == nil {
+		f.pooler = pooler.New(pooler.WithClock(f.clock), pooler.WithProgress(DefaultProgress))
+	}
+	if f.memory == nil {
+		f.memory = accountant.New(DefaultMemory)
+	}
+	f.bodies = collector.New(f.memory, f.bodyBound)
+	f.answers = collector.New(f.memory, f.answerBound)
+}
+
+// InFlight returns the requests that are being served.
+func (f *Forwarder) InFlight() int { return f.drainer.InFlight() }
+
+// Drain refuses all new requests; those in flight go on.
+func (f *Forwarder) Drain() { f.drainer.Close() }
+
+// Shutdown drains and waits until nothing is in flight.
+func (f *Forwarder) Shutdown(ctx context.Context) error {
+	f.Drain()
+	err := f.drainer.Wait(ctx)
+	f.pooler.Close()
+	return err
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !f.drainer.Enter() {
+		f.refuse(w, &submission{id: fleet.RequestID(r.Header.Get(fleet.HeaderRequest))},
+			refused(fleet.ReasonDraining, "this node shuts down; ask another one"))
+		return
+	}
+	defer f.drainer.Leave()
+	if !f.configurations.Ready() {
+		f.refuse(w, &submission{id: fleet.RequestID(r.Header.Get(fleet.HeaderRequest))},
+			refused(fleet.ReasonNotReady, "this node knows no configuration yet"))
+		return
+	}
+	s, reason, err := f.parse(r)
+	if err != nil {
+		f.refuse(w, s, refused(reason, err.Error()))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), s.deadline)
+	defer cancel()
+	if refusal := f.accept(w, s); refusal != nil {
+		f.refuse(w, s, refusal)
+		return
+	}
+	defer s.content.Release()
+	f.serve(ctx, w, s)
+}
+
+// serve finds an answer for an accepted submission and gives it to the caller.
+func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
+	if refusal := f.obtain(ctx, s); refusal != nil {
+		f.refuse(w, s, refusal)
+		return
+	}
+	found := f.try(ctx, s)
+	defer found.close()
+	if found.answered() {
+		f.answer(w, s, found)
+		return
+	}
+	if found.outcome.Executed == fleet.ExecutedNo {
+		f.release(s)
+	}
+	f.refuse(w, s, found)
+}
+
+// accept checks the organisation's limit, holds the body and checks the identity.
+func (f *Forwarder) accept(w http.ResponseWriter, s *submission) *result {
+	limit, limited := f.configurations.Configuration().Limit(s.organisation)
+	if limited && !f.limiter.Allow(limit) {
+		return refused(fleet.ReasonLimit, "the organisation is over its limit")
+	}
+	f.limitReading(w, s.deadline)
+	content, err := f.bodies.Collect(s.request.Body, s.request.ContentLength)
+	if err != nil {
+		return refused(bodyReason(err), err.Error())
+	}
+	f.limitReading(w, time.Time{})
+	s.content = content
+	s.identity = identify(s.key, s.request, content.Bytes())
+	if standing, _ := f.poisoner.Standing(s.identity); standing == poisoner.Poison {
+		content.Release()
+		return refused(fleet.ReasonPoison, "this request crashed two backend servers")
+	}
+	return nil
+}
+
+// limitReading ends a slow upload at the deadline. Writers without deadlines, such
+// as those of tests, cannot be slow.
+func (f *Forwarder) limitReading(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
+// limitWriting bounds the writing of the next part of an answer.
+func (f *Forwarder) limitWriting(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(f.clock.Now().Add(f.writeTimeout))
+}
+
+// refuse tells the caller why there is no answer.
+func (f *Forwarder) refuse(w http.ResponseWriter, s *submission, r *result) {
+	f.recorder.Record(fleet.NewEvent(fleet.EventRefusal, string(s.id), string(r.outcome.Reason)).WithService(s.service))
+	f.limitWriting(w)
+	refuser.Refuse(w, refuser.Refusal{
+		Request:  s.id,
+		Executed: r.outcome.Executed,
+		Reason:   r.outcome.Reason,
+		Message:  r.message,
+	})
+}
+
+// matcher returns the index over the routes in force.
+func (f *Forwarder) matcher() *matcher.Matcher {
+	configuration := f.configurations.Configuration()
+	if m := f.routes.Load(); m != nil && m.Revision() == configuration.Revision() {
+		return m
+	}
+	m := matcher.New(configuration)
+	f.routes.Store(m)
+	return m
+}
+
+// bodyReason says why a request body could not be held.
+func bodyReason(err error) fleet.Reason {
+	switch fault.KindOf[collector.Kind](err) {
+	case collector.KindTooLarge:
+		return fleet.ReasonTooLarge
+	case collector.KindMemory:
+		return fleet.ReasonMemory
+	default:
+		return fleet.ReasonCancelled
+	}
+}
--- /dev/null
+++ b/forwarder/grant.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"context"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// obtain gets the idempotency key of a submission that must not run twice. In
+// doubt the submission does not run.
+func (f *Forwarder) obtain(ctx context.Context, s *submission) *result {
+	if s.idempotent || s.key == "" {
+		return nil
+	}
+	granted, reason, err := f.askGuard(ctx, s)
+	switch {
+	case granted:
+		s.granted = true
+		return nil
+	case err != nil:
+		return unknown(fleet.ReasonGuard, "the key's guard cannot be asked, so the request will not run: "+err.Error())
+	case reason == fleet.ReasonDuplicate:
+		return unknown(reason, "the key was used before, so the request will not run again")
+	default:
+		return unknown(fleet.ReasonGuard, "the key's guard cannot know whether it was used, so the request will not run")
+	}
+}
+
+func (f *Forwarder) askGuard(ctx context.Context, s *submission) (bool, fleet.Reason, error) {
+	node := f.guard.NodeFor(s.key)
+	if node == f.node {
+		verdict := f.guard.Grant(s.service, s.key, s.holder)
+		return verdict.Granted, verdict.Reason, nil
+	}
+	member, found := f.directory.Member(node)
+	if !found {
+		return false, fleet.ReasonGuard, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	return f.peers.grant(ctx, member.PeerAddress, s)
+}
+
+// release gives the key back after proof that the submission did not and will not run.
+func (f *Forwarder) release(s *submission) {
+	if !s.granted {
+		return
+	}
+	node := f.guard.NodeFor(s.key)
+	if node == f.node {
+		f.guard.Release(s.service, s.key, s.holder)
+		return
+	}
+	member, found := f.directory.Member(node)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sealTimeout)
+	defer cancel()
+	// A key whose release is lost stays granted: it will not run again.
+	_ = f.peers.release(ctx, member.PeerAddress, s)
+}
--- /dev/null
+++ b/forwarder/part.go
@@ -0,0 +1,40 @@
+package forwarder
+
+import "cowsliptally.example/cowsliptally/fleet"
+
+// Configurations knows the configuration in force.
+type Configurations interface {
+	Configuration() fleet.Configuration
+	// Ready reports whether a revision is known at all.
+	Ready() bool
+}
+
+// Directory knows the backend servers and nodes of the fleet.
+type Directory interface {
+	Backends(fleet.ServiceName) []fleet.Backend
+	Member(fleet.NodeID) (fleet.Member, bool)
+}
+
+// Picker chooses backend servers.
+type Picker interface {
+	Pick(service fleet.ServiceName, candidates []fleet.Backend, tried []fleet.BackendID, idempotent bool) (fleet.Backend, bool)
+	Begin(fleet.BackendID)
+	End(fleet.BackendID)
+	Report(fleet.Load)
+}
+
+// Observer takes the results of attempts.
+type Observer interface {
+	Observe(fleet.Sample)
+}
+
+// Recorder takes events.
+type Recorder interface {
+	Record(fleet.Event)
+}
+
+// none stands in for parts that were not given.
+type none struct{}
+
+func (none) Observe(fleet.Sample) {}
+func (none) Record(fleet.Event)   {}
--- /dev/null
+++ b/forwarder/result.go
@@ -0,0 +1,44 @@
+package forwarder
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/collector"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pooler"
+)
+
+// result is what became of one attempt.
+type result struct {
+	outcome fleet.Outcome
+	message string
+	// blameless is set when a lost connection was at fault, not the owner or backend server.
+	blameless bool
+	// exchange and content hold the answer when there is one.
+	exchange *pooler.Exchange
+	content  *collector.Content
+	whole    bool
+	// serviceTime is the time at the backend server, by its owner.
+	serviceTime time.Duration
+}
+
+func refused(reason fleet.Reason, message string) *result {
+	return &result{outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: reason}, message: message}
+}
+
+func unknown(reason fleet.Reason, message string) *result {
+	return &result{outcome: fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: reason}, message: message}
+}
+
+// answered reports whether there is an answer of a backend server.
+func (r *result) answered() bool { return r.outcome.Executed == fleet.ExecutedYes }
+
+// close gives the answer's connection and memory back.
+func (r *result) close() {
+	if r.exchange != nil {
+		r.exchange.Close()
+	}
+	if r.content != nil {
+		r.content.Release()
+	}
+}
--- /dev/null
+++ b/forwarder/rig_test.go
@@ -0,0 +1,131 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+)
+
+// rig is a small fleet in one process: an ingress and owners with backend servers.
+type rig struct {
+	t         testing.TB
+	mu        sync.Mutex
+	members   map[fleet.NodeID]fleet.Member
+	backends  []fleet.Backend
+	samples   []fleet.Sample
+	events    []fleet.Event
+	forwarder *forwarder.Forwarder
+	caller    *httptest.Server
+}
+
+func newRig(t testing.TB, options ...forwarder.Option) *rig {
+	r := &rig{t: t, members: make(map[fleet.NodeID]fleet.Member)}
+	options = append([]forwarder.Option{forwarder.WithObserver(r), forwarder.WithRecorder(r)}, options...)
+	r.forwarder = forwarder.New("ingress", r, r, r, options...)
+	r.caller = httptest.NewServer(r.forwarder)
+	t.Cleanup(r.caller.Close)
+	return r
+}
+
+// addOwner starts an owner with one backend server that runs the handler.
+func (r *rig) addOwner(name string, backend http.Handler, options ...dispatcher.Option) *owner {
+	server := httptest.NewServer(backend)
+	r.t.Cleanup(server.Close)
+	o := &owner{server: server, backend: fleet.Backend{
+		ID: fleet.BackendID("backend-" + name), Service: "ledger", Owner: fleet.NodeID(name), Slots: 4,
+		Address: strings.TrimPrefix(server.URL, "http://"), State: fleet.BackendReady,
+	}}
+	o.dispatcher = dispatcher.New(fleet.NodeID(name), o, options...)
+	router := chi.NewRouter()
+	router.Handle(dispatcher.PathPrefix+"/*", o.dispatcher)
+	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(o.dispatcher))
+	o.peer = httptest.NewServer(router)
+	r.t.Cleanup(o.peer.Close)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members[fleet.NodeID(name)] = fleet.Member{
+		ID: fleet.NodeID(name), PeerAddress: strings.TrimPrefix(o.peer.URL, "http://"), State: fleet.MemberAlive,
+	}
+	r.backends = append(r.backends, o.backend)
+	return o
+}
+
+func (r *rig) Configuration() fleet.Configuration {
+	return fleet.Configuration{}.WithRevision(1).
+		WithService(fleet.Service{Name: "ledger"}).
+		WithRoute(fleet.Route{Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Idempotent: true, Kind: "read", Weight: 1}).
+		WithRoute(fleet.Route{Name: "refund", Service: "ledger", Method: "POST", PathPrefix: "/refund", Kind: "refund", Weight: 5})
+}
+
+func (r *rig) Ready() bool { return true }
+
+func (r *rig) Backends(fleet.ServiceName) []fleet.Backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backends
+}
+
+func (r *rig) Member(id fleet.NodeID) (fleet.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	member, found := r.members[id]
+	return member, found
+}
+
+// Pick returns the first candidate that was not tried.
+func (r *rig) Pick(_ fleet.ServiceName, candidates []fleet.Backend, tried []fleet.BackendID, _ bool) (fleet.Backend, bool) {
+	for _, candidate := range candidates {
+		if !strings.Contains(fmt.Sprint(tried), string(candidate.ID)) {
+			return candidate, true
+		}
+	}
+	return fleet.Backend{}, false
+}
+
+func (r *rig) Begin(fleet.BackendID) {}
+func (r *rig) End(fleet.BackendID)   {}
+func (r *rig) Report(fleet.Load)     {}
+
+func (r *rig) Observe(s fleet.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples = append(r.samples, s)
+}
+
+func (r *rig) Record(e fleet.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+// owner is one node with its backend server.
+type owner struct {
+	mu         sync.Mutex
+	backend    fleet.Backend
+	crashed    int
+	server     *httptest.Server
+	peer       *httptest.Server
+	dispatcher *dispatcher.Dispatcher
+}
+
+func (o *owner) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.backend, o.backend.ID == id
+}
+
+func (o *owner) Crashed(fleet.BackendID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashed++
+}
--- /dev/null
+++ b/forwarder/submission.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cowsliptally.example/cowsliptally/collector"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/matcher"
+)
+
+// maxName bounds the length of identifiers in headers, in bytes.
+const maxName = 256
+
+// submission is one request of a caller on its way through the fleet.
+type submission struct {
+	id fleet.RequestID
+	// holder names this submission to the guard; it is never the caller's choice.
+	holder       string
+	request      *http.Request
+	content      *collector.Content
+	service      fleet.ServiceName
+	kind         fleet.RequestKind
+	organisation fleet.Organisation
+	key          string
+	identity     string
+	weight       int
+	idempotent   bool
+	deadline     time.Time
+	granted      bool
+}
+
+// parse reads what a request asks for.
+func (f *Forwarder) parse(r *http.Request) (*submission, fleet.Reason, error) {
+	header := r.Header
+	s := &submission{
+		id:           fleet.RequestID(header.Get(fleet.HeaderRequest)),
+		holder:       uuid.NewString(),
+		request:      r,
+		organisation: fleet.Organisation(header.Get(fleet.HeaderOrganisation)),
+		key:          header.Get(fleet.HeaderKey),
+	}
+	if s.id == "" {
+		s.id = newRequestID()
+	}
+	for _, name := range []string{fleet.HeaderRequest, fleet.HeaderOrganisation, fleet.HeaderKey, fleet.HeaderKind} {
+		if length := len(header.Get(name)); length > maxName {
+			return s, fleet.ReasonBadRequest, fmt.Errorf("header %s has %d bytes, more than %d", name, length, maxName)
+		}
+	}
+	if r.Method == http.MethodConnect || header.Get("Upgrade") != "" {
+		return s, fleet.ReasonBadRequest, fmt.Errorf("method CONNECT and protocol upgrades are not served")
+	}
+	route, err := f.route(r)
+	if err != nil {
+		return s, fleet.ReasonNoRoute, err
+	}
+	s.service, s.kind, s.weight = route.Service, route.Kind, route.Weight
+	if kind := header.Get(fleet.HeaderKind); kind != "" {
+		s.kind = fleet.RequestKind(kind)
+	}
+	if s.idempotent, err = repeatable(header, route.Idempotent); err != nil {
+		return s, fleet.ReasonBadRequest, err
+	}
+	timeout, err := f.timeoutOf(header, route)
+	if err != nil {
+		return s, fleet.ReasonBadRequest, err
+	}
+	s.deadline = f.clock.Now().Add(timeout)
+	return s, "", nil
+}
+
+// route finds how a request is treated. A named service goes before the routes; its
+// own routes still say the kind and weight.
+func (f *Forwarder) route(r *http.Request) (fleet.Route, error) {
+	service := fleet.ServiceName(r.Header.Get(fleet.HeaderService))
+	routes := f.matcher()
+	route, found := routes.Match(service, matcher.Host(r.Host), r.Method, r.URL.Path)
+	if found {
+		return route, nil
+	}
+	if service == "" {
+		return route, fmt.Errorf("no route matches %s %s on host %q", r.Method, r.URL.Path, r.Host)
+	}
+	if _, exists := f.configurations.Configuration().Service(service); !exists {
+		return route, fmt.Errorf("service %q does not exist", service)
+	}
+	return fleet.Route{Service: service, Idempotent: safe(r.Method)}, nil
+}
+
+// timeoutOf returns the time limit: the caller's, else the route's, else the node's.
+func (f *Forwarder) timeoutOf(header http.Header, route fleet.Route) (time.Duration, error) {
+	timeout := f.timeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	if value := header.Get(fleet.HeaderTimeout); value != "" {
+		milliseconds, err := strconv.ParseInt(value, 10, 32)
+		if err != nil || milliseconds <= 0 {
+			return 0, fmt.Errorf("header %s is %q, not milliseconds above 0", fleet.HeaderTimeout, value)
+		}
+		timeout = time.Duration(milliseconds) * time.Millisecond
+	}
+	return min(timeout, MaxTimeout), nil
+}
+
+// repeatable reads the header that goes before the route.
+func repeatable(header http.Header, route bool) (bool, error) {
+	switch value := header.Get(fleet.HeaderIdempotent); value {
+	case "":
+		return route, nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default:
+		return false, fmt.Errorf("header %s is %q, not true or false", fleet.HeaderIdempotent, value)
+	}
+}
+
+// safe reports whether a method promises to change nothing.
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func newRequestID() fleet.RequestID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return fleet.RequestID(uuid.NewString())
+	}
+	return fleet.RequestID(id.String())
+}
--- /dev/null
+++ b/guard/option.go
@@ -0,0 +1,37 @@
+package guard
+
+import "time"
+
+const (
+	// DefaultWindow is how long a granted key is remembered.
+	DefaultWindow = 10 * time.Minute
+	// DefaultMargin bounds the spreading of a membership change and the error of callers' clocks.
+	DefaultMargin = 15 * time.Second
+	// DefaultCapacity is the number of keys remembered at a time.
+	DefaultCapacity = 65_536
+	// DefaultPause is the gap between two calls of Watch that counts as a pause of the process.
+	DefaultPause = 5 * time.Second
+)
+
+// Option changes a setting of a Guard.
+type Option func(*Guard)
+
+// WithWindow sets how long a granted key is remembered.
+func WithWindow(window time.Duration) Option {
+	return func(g *Guard) { g.window = window }
+}
+
+// WithMargin sets the bound of membership spreading and of callers' clock errors.
+func WithMargin(margin time.Duration) Option {
+	return func(g *Guard) { g.margin = margin }
+}
+
+// WithCapacity sets the number of keys remembered at a time.
+func WithCapacity(capacity int) Option {
+	return func(g *Guard) { g.capacity = capacity }
+}
+
+// WithPause sets the gap between two calls of Watch that counts as a pause.
+func WithPause(pause time.Duration) Option {
+	return func(g *Guard) { g.pause = pause }
+}
--- /dev/null
+++ b/poisoner/option.go
@@ -0,0 +1,23 @@
+package poisoner
+
+import "time"
+
+const (
+	// DefaultDuration is how long an identity stays suspect or poison after its last crash.
+	DefaultDuration = 10 * time.Minute
+	// DefaultCapacity is the number of identities remembered at a time.
+	DefaultCapacity = 8192
+)
+
+// Option changes a setting of a Poisoner.
+type Option func(*Poisoner)
+
+// WithDuration sets how long an identity stays suspect or poison.
+func WithDuration(duration time.Duration) Option {
+	return func(p *Poisoner) { p.duration = duration }
+}
+
+// WithCapacity sets the number of identities remembered at a time.
+func WithCapacity(capacity int) Option {
+	return func(p *Poisoner) { p.capacity = capacity }
+}
--- /dev/null
+++ b/poisoner/poisoner.go
@@ -0,0 +1,123 @@
+// Package poisoner knows which requests were running on backend servers that
+// crashed. It does no I/O.
+//
+// An identity names a request by its content, so that it is known again when its
+// caller sends it anew. After one crash it is suspect: the node that reported the
+// crash permits one trial run. A trial that ends clears the identity; a second
+// crash, of another backend server, makes it poison.
+package poisoner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// Poisoner holds the standing of identities. It is safe for concurrent use.
+type Poisoner struct {
+	clock    clockwork.Clock
+	duration time.Duration
+	capacity int
+
+	mu      sync.Mutex
+	records *simplelru.LRU[string, *record]
+}
+
+// New returns a poisoner to which every identity is clean.
+func New(clock clockwork.Clock, options ...Option) *Poisoner {
+	p := &Poisoner{clock: clock, duration: DefaultDuration, capacity: DefaultCapacity}
+	for _, option := range options {
+		option(p)
+	}
+	records, err := simplelru.NewLRU[string, *record](max(1, p.capacity), nil)
+	if err != nil {
+		panic(err)
+	}
+	p.records = records
+	return p
+}
+
+// Crash records that a backend server died with these identities in its slots.
+// It returns the identities that became poison by it.
+func (p *Poisoner) Crash(reporter fleet.NodeID, backend fleet.BackendID, identities []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var poisoned []string
+	for _, identity := range identities {
+		r := p.find(identity)
+		if r == nil {
+			r = &record{first: backend, reporter: reporter}
+			p.records.Add(identity, r)
+		}
+		if r.first != backend && r.second == "" {
+			r.second = backend
+			poisoned = append(poisoned, identity)
+		}
+		r.updated = p.clock.Now()
+	}
+	return poisoned
+}
+
+// Clear forgets a suspect that ran to its end; it returns whether it was suspect.
+// Poison stays.
+func (p *Poisoner) Clear(identity string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.find(identity)
+	if r == nil || r.standing() == Poison {
+		return false
+	}
+	p.records.Remove(identity)
+	return true
+}
+
+// Standing returns the standing of an identity and, for a suspect, the node to
+// ask for a trial run.
+func (p *Poisoner) Standing(identity string) (Standing, fleet.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.find(identity)
+	if r == nil {
+		return Clean, ""
+	}
+	return r.standing(), r.reporter
+}
+
+// Try permits the one trial run of a suspect at the node that reported its crash.
+func (p *Poisoner) Try(node fleet.NodeID, identity string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.find(identity)
+	if r == nil {
+		return true
+	}
+	if r.standing() == Poison || r.reporter != node || r.tried {
+		return false
+	}
+	r.tried = true
+	return true
+}
+
+// Len returns the number of identities remembered.
+func (p *Poisoner) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.records.Len()
+}
+
+// find returns the record of an identity unless its time is over.
+func (p *Poisoner) find(identity string) *record {
+	r, found := p.records.Get(identity)
+	if !found {
+		return nil
+	}
+	if p.clock.Since(r.updated) >= p.duration {
+		p.records.Remove(identity)
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/poisoner/standing.go
@@ -0,0 +1,14 @@
+package poisoner
+
+// Standing says how an identity may be treated.
+type Standing uint8
+
+const (
+	// Clean is an identity that no crash speaks against.
+	Clean Standing = iota + 1
+	// Suspect is an identity that was in a slot of one crashed backend server.
+	Suspect
+	// Poison is an identity that was in slots of two crashed backend servers and
+	// never ran to its end in between.
+	Poison
+)
--- /dev/null
+++ b/pooler/error.go
@@ -0,0 +1,18 @@
+package pooler
+
+import "cowsliptally.example/cowsliptally/fault"
+
+// Kind is the class of a failed exchange.
+type Kind string
+
+const (
+	// KindDial means that no connection could be made.
+	KindDial Kind = "dial"
+	// KindSilent means that the connection made no progress in time.
+	KindSilent Kind = "silent"
+	// KindBroken means that the connection failed before the head of the answer was complete.
+	KindBroken Kind = "broken"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
--- /dev/null
+++ b/pooler/option.go
@@ -0,0 +1,47 @@
+package pooler
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// DefaultDialTimeout bounds the making of a connection.
+	DefaultDialTimeout = time.Second
+	// DefaultIdleTimeout closes connections that were not used; callers' and backend
+	// servers' own timeouts are often longer.
+	DefaultIdleTimeout = 4 * time.Second
+	// DefaultConnections bounds the connections to one address; a backend server takes about 360.
+	DefaultConnections = 256
+	// DefaultAddresses bounds the addresses with pooled connections.
+	DefaultAddresses = 4096
+)
+
+// Option changes a setting of a Pooler.
+type Option func(*Pooler)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(p *Pooler) { p.clock = clock }
+}
+
+// WithProgress fails an exchange when no byte of the answer's head came for this long; 0 waits for ever.
+func WithProgress(timeout time.Duration) Option {
+	return func(p *Pooler) { p.progress = timeout }
+}
+
+// WithDialTimeout bounds the making of a connection.
+func WithDialTimeout(timeout time.Duration) Option {
+	return func(p *Pooler) { p.dialTimeout = timeout }
+}
+
+// WithIdleTimeout closes connections that were not used for this long.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(p *Pooler) { p.idleTimeout = timeout }
+}
+
+// WithConnections bounds the connections to one address.
+func WithConnections(bound int) Option {
+	return func(p *Pooler) { p.connections = bound }
+}
--- /dev/null
+++ b/pooler/pooler.go
@@ -0,0 +1,190 @@
+// Package pooler keeps HTTP/1.1 connections to nodes and backend servers. It sends
+// each request at most once and tells whether any byte of it left the process.
+package pooler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fault"
+)
+
+// maxStale bounds the idle connections found closed before a fresh one is used.
+const maxStale = 3
+
+// errSilent is the cause of a cancellation for want of progress.
+var errSilent = errors.New("the connection made no progress")
+
+// Pooler holds one pool of connections for each address. It is safe for concurrent use.
+type Pooler struct {
+	clock       clockwork.Clock
+	progress    time.Duration
+	dialTimeout time.Duration
+	idleTimeout time.Duration
+	connections int
+
+	mu    sync.Mutex
+	pools *simplelru.LRU[string, *http.Transport]
+}
+
+// New returns a pooler without connections.
+func New(options ...Option) *Pooler {
+	p := &Pooler{
+		clock:       clockwork.NewRealClock(),
+		dialTimeout: DefaultDialTimeout,
+		idleTimeout: DefaultIdleTimeout,
+		connections: DefaultConnections,
+	}
+	for _, option := range options {
+		option(p)
+	}
+	pools, err := simplelru.NewLRU(DefaultAddresses, func(_ string, pool *http.Transport) {
+		pool.CloseIdleConnections()
+	})
+	if err != nil {
+		panic(err)
+	}
+	p.pools = pools
+	return p
+}
+
+// Send sends a request with this content to an address once. A pooled connection
+// found closed before a byte was written is replaced; nothing else is tried twice.
+func (p *Pooler) Send(ctx context.Context, address string, r *http.Request, content []byte) (*Exchange, error) {
+	for stale := 0; ; stale++ {
+		exchange, err := p.send(ctx, address, r, content, stale >= maxStale)
+		if err == nil || exchange.Sent || !exchange.Reused || ctx.Err() != nil {
+			return exchange, err
+		}
+	}
+}
+
+// Renew leaves the present connections to an address to the requests that use
+// them and makes new ones for later requests.
+func (p *Pooler) Renew(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools.Remove(address)
+}
+
+// Probe tries a fresh connection to an address.
+func (p *Pooler) Probe(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: p.dialTimeout}
+	probe, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fault.New("probe", KindDial, "connect to %s: %w", address, err)
+	}
+	return probe.Close()
+}
+
+// Close closes all connections that are not in use.
+func (p *Pooler) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools.Purge()
+}
+
+func (p *Pooler) send(ctx context.Context, address string, r *http.Request, content []byte, fresh bool) (*Exchange, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	exchange := &Exchange{cancel: cancel}
+	w := &watcher{clock: p.clock, progress: p.progress, cancel: cancel}
+	defer w.stop()
+	var used *conn
+	var before uint64
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			used = info.Conn.(*conn)
+			before = used.writes.Load()
+			exchange.Reused = info.Reused
+			w.start(used)
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
+	}
+	request := r.Clone(httptrace.WithClientTrace(ctx, trace))
+	setContent(request, content)
+	request.Close = fresh
+	if fresh {
+		p.Renew(address)
+	}
+	response, err := p.pool(address).RoundTrip(request)
+	if err == nil {
+		exchange.Response = response
+		exchange.Sent = true
+		return exchange, nil
+	}
+	if used != nil {
+		used.Close()
+		exchange.Sent = used.writes.Load() != before
+	}
+	cause := context.Cause(ctx)
+	cancel(err)
+	return exchange, classify(address, err, cause, used)
+}
+
+// pool returns the connections to an address.
+func (p *Pooler) pool(address string) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool, found := p.pools.Get(address); found {
+		return pool
+	}
+	dialer := &net.Dialer{Timeout: p.dialTimeout}
+	pool := &http.Transport{
+		DialContext: func(ctx context.Context, network, target string) (net.Conn, error) {
+			made, err := dialer.DialContext(ctx, network, target)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: made}, nil
+		},
+		DisableCompression:  true,
+		MaxConnsPerHost:     p.connections,
+		MaxIdleConnsPerHost: p.connections,
+		IdleConnTimeout:     p.idleTimeout,
+	}
+	p.pools.Add(address, pool)
+	return pool
+}
+
+// setContent gives the request a body that cannot be sent a second time.
+func setContent(r *http.Request, content []byte) {
+	r.GetBody = nil
+	r.ContentLength = int64(len(content))
+	r.Body = newBody(content)
+	if len(content) == 0 && replayed(r) {
+		r.ContentLength = -1
+		return
+	}
+	if len(content) == 0 {
+		r.Body = http.NoBody
+	}
+}
+
+// replayed reports whether net/http would send a request without a body again on its own.
+func replayed(r *http.Request) bool {
+	switch r.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
+func classify(address string, err, cause error, used *conn) error {
+	switch {
+	case errors.Is(cause, errSilent):
+		return fault.New("send", KindSilent, "to %s: %w", address, errSilent)
+	case used == nil:
+		return fault.New("send", KindDial, "connect to %s: %w", address, err)
+	default:
+		return fault.New("send", KindBroken, "to %s: %w", address, err)
+	}
+}
--- /dev/null
+++ b/scrubber/scrubber.go
@@ -0,0 +1,43 @@
+// Package scrubber removes headers that concern one connection or only the nodes.
+package scrubber
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// nodeHeaders are set by nodes only.
+var nodeHeaders = []string{
+	fleet.HeaderBackend, fleet.HeaderAttempt, fleet.HeaderExecuted, fleet.HeaderReason,
+	fleet.HeaderInFlight, fleet.HeaderQueued, fleet.HeaderSlots, fleet.HeaderServiceTime,
+	fleet.HeaderRevision, fleet.HeaderLength, fleet.HeaderTicket, fleet.HeaderWeight,
+	fleet.HeaderIdentity,
+}
+
+// Connection removes the headers that concern one connection.
+func Connection(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// Node removes the headers that only nodes may set.
+func Node(header http.Header) {
+	for _, name := range nodeHeaders {
+		header.Del(name)
+	}
+}
