Let attempts in flight and owners' evidence reach the judge

Cause: the judge counts attempts still running and the evidence of owners, but the request path only told it of finished attempts. Ruled out: Begin and End of the picker, which know neither service nor kind. Before: a stuck backend server was seen only at the time limit. After: the observer watches each attempt at the ingress and the owner, and owners send their evidence in a header with every answer.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -36,4 +36,7 @@
 	header.Set(fleet.HeaderInFlight, strconv.Itoa(running))
 	header.Set(fleet.HeaderQueued, strconv.Itoa(waiting))
 	header.Set(fleet.HeaderSlots, strconv.Itoa(g.slotCount()))
+	if nats := d.observer.Nats(c.backend); nats > 0 {
+		header.Set(fleet.HeaderEvidence, strconv.FormatFloat(nats, 'f', 1, 64))
+	}
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -41,6 +41,8 @@
 		a.dispatcher.refuse(w, a.call, refused(reason), "the request was stopped before it was dispatched")
 		return
 	}
+	done := a.dispatcher.observer.Watch(a.backend.Service, a.backend.ID, a.call.kind)
+	defer done()
 	start := a.dispatcher.clock.Now()
 	result := a.run(ctx)
 	took := a.dispatcher.clock.Since(start)
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -20,6 +20,10 @@
 
 // Observer takes the results of attempts.
 type Observer interface {
+	// Watch tells that an attempt goes to a backend server; done ends it, after Observe.
+	Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) (done func())
+	// Nats returns this node's evidence against a backend server that it distrusts, or 0.
+	Nats(fleet.BackendID) float64
 	Observe(fleet.Sample)
 }
 
@@ -39,8 +43,10 @@
 // none stands in for parts that were not given.
 type none struct{}
 
-func (none) Observe(fleet.Sample)                              {}
-func (none) Record(fleet.Event)                                {}
-func (none) Report(context.Context, fleet.BackendID, []string) {}
-func (none) Clear(context.Context, string)                     {}
-func (none) Configuration() fleet.Configuration                { return fleet.Configuration{} }
+func (none) Nats(fleet.BackendID) float64                                       { return 0 }
+func (none) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) func() { return func() {} }
+func (none) Observe(fleet.Sample)                                               {}
+func (none) Record(fleet.Event)                                                 {}
+func (none) Report(context.Context, fleet.BackendID, []string)                  {}
+func (none) Clear(context.Context, string)                                      {}
+func (none) Configuration() fleet.Configuration                                 { return fleet.Configuration{} }
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -32,6 +32,8 @@
 	HeaderSlots = "Cowsliptally-Slots"
 	// HeaderServiceTime carries the time at the backend server in microseconds.
 	HeaderServiceTime = "Cowsliptally-Service-Time"
+	// HeaderEvidence carries the owner's evidence against the backend server, in nats.
+	HeaderEvidence = "Cowsliptally-Evidence"
 	// HeaderRevision carries the configuration revision of the answering node.
 	HeaderRevision = "Cowsliptally-Revision"
 	// HeaderLength carries the length of the answer's body in bytes between nodes.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,7 @@
 	}
 	f.picker.Begin(backend.ID)
 	defer f.picker.End(backend.ID)
+	defer f.observer.Watch(s.service, backend.ID, s.kind)()
 	start := f.clock.Now()
 	var r *result
 	for range maxTickets {
@@ -169,6 +170,9 @@
 	if err != nil {
 		return
 	}
+	if nats, err := strconv.ParseFloat(header.Get(fleet.HeaderEvidence), 64); err == nil {
+		f.observer.Advise(backend.Service, backend.ID, nats)
+	}
 	f.picker.Report(fleet.Load{
 		Backend:  backend.ID,
 		InFlight: inFlight,
--- a/forwarder/part.go
+++ b/forwarder/part.go
@@ -25,6 +25,10 @@
 
 // Observer takes the results of attempts.
 type Observer interface {
+	// Watch tells that an attempt goes to a backend server; done ends it, after Observe.
+	Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) (done func())
+	// Advise passes on an owner's evidence against its backend server, in nats.
+	Advise(fleet.ServiceName, fleet.BackendID, float64)
 	Observe(fleet.Sample)
 }
 
@@ -36,5 +40,7 @@
 // none stands in for parts that were not given.
 type none struct{}
 
-func (none) Observe(fleet.Sample) {}
-func (none) Record(fleet.Event)   {}
+func (none) Observe(fleet.Sample)                                               {}
+func (none) Advise(fleet.ServiceName, fleet.BackendID, float64)                 {}
+func (none) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) func() { return func() {} }
+func (none) Record(fleet.Event)                                                 {}
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -96,6 +96,12 @@
 func (r *rig) End(fleet.BackendID)   {}
 func (r *rig) Report(fleet.Load)     {}
 
+func (*rig) Advise(fleet.ServiceName, fleet.BackendID, float64) {}
+
+func (*rig) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) (done func()) {
+	return func() {}
+}
+
 func (r *rig) Observe(s fleet.Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
