--- a/standin/backend/server/server_test.go
+++ b/standin/backend/server/server_test.go
@@ -27,7 +27,6 @@
 	request, err := http.NewRequest(http.MethodPost, url+"/work", strings.NewReader(body))
 	is.New(t).NoErr(err)
 	request.Header.Set(fleet.HeaderRequest, id)
-	is.NoErr(err)
 	request.Header.Set(fleet.HeaderIdempotent, "false")
 	response, err := http.DefaultClient.Do(request)
 	is.New(t).NoErr(err)
