--- a/journal/journal.go
+++ b/journal/journal.go
@@ -10,7 +10,8 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// DefaultCapacity is the number of entries that a journal keeps.
+// DefaultCapacity is the number of entries that a journal keeps of decisions
+// and, apart from them, of single requests.
 const DefaultCapacity = 4096
 
 // Journal records events. It is safe for concurrent use.
@@ -21,15 +22,18 @@
 	registry metrics.Registry
 
 	mu       sync.Mutex
-	entries  []fleet.Event
 	capacity int
 	sequence uint64
+	// decisions and requests are apart, so that a flood of refused requests
+	// does not push out the rare decisions that explain it.
+	decisions *window
+	requests  *window
 }
 
 // Option changes a setting of a journal.
 type Option func(*Journal)
 
-// WithCapacity sets how many entries are kept; older ones are overwritten.
+// WithCapacity sets how many entries are kept of either sort; older ones are overwritten.
 func WithCapacity(entries int) Option { return func(j *Journal) { j.capacity = max(entries, 1) } }
 
 // WithClock sets the clock that stamps events.
@@ -52,6 +56,8 @@
 	for _, option := range options {
 		option(j)
 	}
+	j.decisions = newWindow(j.capacity)
+	j.requests = newWindow(j.capacity)
 	return j
 }
 
@@ -73,7 +79,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var matching []fleet.Event
-	for _, event := range j.ordered() {
+	for _, event := range merge(j.decisions.ordered(), j.requests.ordered()) {
 		if subject != "" && event.Subject != subject {
 			continue
 		}
@@ -96,21 +102,16 @@
 	event.Time = j.clock.Now()
 	event.Node = j.node
 	event.Sequence = j.sequence
-	if len(j.entries) < j.capacity {
-		j.entries = append(j.entries, event)
-		return event
-	}
-	j.entries[(j.sequence-1)%uint64(j.capacity)] = event
+	j.windowOf(event.Kind).add(event)
 	return event
 }
 
-// ordered returns the entries from the oldest to the newest.
-func (j *Journal) ordered() []fleet.Event {
-	if len(j.entries) < j.capacity {
-		return j.entries
+// windowOf returns the window that keeps events of a kind.
+func (j *Journal) windowOf(kind fleet.EventKind) *window {
+	switch kind {
+	case fleet.EventRefusal, fleet.EventRetry, fleet.EventSealed:
+		return j.requests
+	default:
+		return j.decisions
 	}
-	next := int(j.sequence % uint64(j.capacity))
-	ordered := make([]fleet.Event, 0, len(j.entries))
-	ordered = append(ordered, j.entries[next:]...)
-	return append(ordered, j.entries[:next]...)
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -65,6 +65,20 @@
 	is.Equal(j.Events("", "", 1)[0].Subject, "e")
 }
 
+func TestRefusalsDoNotPushOutDecisions(t *testing.T) {
+	is := is.New(t)
+	j := New("n1", WithCapacity(2))
+	j.Record(fleet.NewEvent(fleet.EventRefusal, "r0", "busy"))
+	j.Record(fleet.NewEvent(fleet.EventEjection, "b1", "slow"))
+	for range 5 {
+		j.Record(fleet.NewEvent(fleet.EventRefusal, "r", "busy"))
+	}
+	events := j.Events("", "", 0)
+	is.Equal(len(events), 3)
+	is.Equal(events[0].Kind, fleet.EventEjection)
+	is.Equal(events[2].Sequence, uint64(7))
+}
+
 func TestHandlerAnswersOverHTTP(t *testing.T) {
 	is := is.New(t)
 	j := New("n1")
