Wire the node: the whole path runs as separate processes

Cause: the parts were built apart; nothing served a request from a caller through ingress and owner to a backend server yet. Ruled out: one router for both ports, since operators' and peers' calls must not be reachable by callers; parts that import each other, since `daemon` can join them through the small interfaces that each declares. Before: no process. The log service's stand-in ended by signal, which the demo rightly reported; it now ends on SIGTERM by itself.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # Builds every program into bin/.
 build:
-	go build -o bin/ . ./demo ./experiment ./standin/...
+	go build -o bin/ ./...
 
 # Runs the whole path as separate processes under load and faults.
 demo: build
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/balancer"
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/ejector"
+	"cowsliptally.example/cowsliptally/fetcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/journal"
+	"cowsliptally.example/cowsliptally/judge"
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/logclient"
+	"cowsliptally.example/cowsliptally/messenger"
+	"cowsliptally.example/cowsliptally/operator"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/prober"
+	"cowsliptally.example/cowsliptally/registrar"
+	"cowsliptally.example/cowsliptally/roster"
+	"cowsliptally.example/cowsliptally/settings"
+)
+
+// suffixLength is the number of random characters that make a node's identifier
+// differ from that of its earlier starts.
+const suffixLength = 8
+
+// Daemon is one node.
+type Daemon struct {
+	set    settings.Node
+	self   fleet.Member
+	clock  clockwork.Clock
+	logger *log.Logger
+	client *http.Client
+
+	journal    *journal.Journal
+	keeper     *keeper.Keeper
+	fetcher    *fetcher.Fetcher
+	operator   *operator.Operator
+	roster     *roster.Roster
+	registrar  *registrar.Registrar
+	prober     *prober.Prober
+	judge      *judge.Judge
+	balancer   *balancer.Balancer
+	ejector    *ejector.Ejector
+	poisoner   *poisoner.Poisoner
+	guard      *guard.Guard
+	memory     *accountant.Accountant
+	suspects   *suspects
+	forwarder  *forwarder.Forwarder
+	dispatcher *dispatcher.Dispatcher
+}
+
+// New returns a node with checked settings; Run starts it.
+func New(set settings.Node, options ...Option) *Daemon {
+	d := &Daemon{
+		set:    set,
+		clock:  clockwork.NewRealClock(),
+		logger: log.New(io.Discard),
+		client: newClient(),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	d.self = fleet.Member{
+		ID:            fleet.NodeID(set.Name + "-" + uuid.NewString()[:suffixLength]),
+		Incarnation:   1,
+		PeerAddress:   cmp.Or(set.AdvertisedPeerAddress, set.PeerAddress),
+		CallerAddress: set.CallerAddress,
+		Zone:          fleet.Zone(set.Zone),
+		Region:        fleet.Region(set.Region),
+		State:         fleet.MemberAlive,
+	}
+	d.journal = journal.New(d.self.ID, journal.WithClock(d.clock), journal.WithLogger(d.logger))
+	d.buildMembership()
+	d.buildConfiguration()
+	d.buildHealth()
+	d.buildRequests()
+	return d
+}
+
+// Self returns the node as it describes itself to others.
+func (d *Daemon) Self() fleet.Member {
+	return d.self
+}
+
+func (d *Daemon) buildMembership() {
+	d.roster = roster.New(roster.WithClock(d.clock))
+	d.registrar = registrar.New(d.self.ID, d.self.Zone,
+		registrar.WithClock(d.clock),
+		registrar.WithCounter(inFlight{d}),
+		registrar.WithDirectory(d.roster),
+		registrar.WithJournal(d.journal))
+	d.prober = prober.New(d.self, d.roster, messenger.New(messenger.WithHTTPClient(d.client)),
+		prober.WithClock(d.clock),
+		prober.WithJournal(d.journal),
+		prober.WithMetrics(d.journal.Registry()),
+		prober.WithOwner(d.registrar),
+		prober.WithProgress(progress{d}),
+		prober.WithSeeds(d.set.Peers...))
+	d.registrar.Watch(d.prober)
+}
+
+func (d *Daemon) buildConfiguration() {
+	d.fetcher = fetcher.New(d.self.ID, d.roster.Members, fetcher.WithClient(d.client))
+	d.keeper = keeper.New(logclient.New(logHost(d.set.Log)),
+		keeper.WithClock(d.clock),
+		keeper.WithPeers(d.fetcher),
+		keeper.WithRecorder(d.journal))
+	d.operator = operator.New(d.self.ID, d.keeper, d.fetcher, operator.WithClock(d.clock))
+}
+
+func (d *Daemon) buildHealth() {
+	d.judge = judge.New(
+		judge.WithClock(d.clock),
+		judge.WithDirectory(d.roster),
+		judge.WithEjections(facts{d}),
+		judge.WithSettings(d.keeper))
+	d.balancer = balancer.New(
+		balancer.WithClock(d.clock),
+		balancer.WithVerdicts(d.judge),
+		balancer.WithZone(d.self.Zone))
+	d.ejector = ejector.New(d.self.ID, d.judge,
+		ejector.WithAppender(d.keeper),
+		ejector.WithClock(d.clock),
+		ejector.WithFold(facts{d}),
+		ejector.WithJournal(d.journal),
+		ejector.WithLocal(d.registrar),
+		ejector.WithMembers(d.roster),
+		ejector.WithMessenger(witness{d}))
+}
+
+func (d *Daemon) buildRequests() {
+	d.guard = guard.New(d.self.ID, d.clock)
+	d.poisoner = poisoner.New(d.clock)
+	d.memory = accountant.New(d.set.Memory)
+	d.suspects = newSuspects(d)
+	d.forwarder = forwarder.New(d.self.ID, d.keeper, d.roster, d.balancer,
+		forwarder.WithAnswerBound(d.set.MaxAnswer),
+		forwarder.WithBodyBound(d.set.MaxBody),
+		forwarder.WithClock(d.clock),
+		forwarder.WithGuard(d.guard),
+		forwarder.WithMemory(d.memory),
+		forwarder.WithObserver(observer{d.judge}),
+		forwarder.WithPoisoner(d.poisoner),
+		forwarder.WithRecorder(d.journal),
+		forwarder.WithTimeout(d.set.Timeout))
+	d.dispatcher = dispatcher.New(d.self.ID, d.registrar,
+		dispatcher.WithAnswerBound(d.set.MaxAnswer),
+		dispatcher.WithBodyBound(d.set.MaxBody),
+		dispatcher.WithClock(d.clock),
+		dispatcher.WithConfigurations(d.keeper),
+		dispatcher.WithGuard(d.guard),
+		dispatcher.WithMemory(d.memory),
+		dispatcher.WithObserver(observer{d.judge}),
+		dispatcher.WithPoisoner(d.poisoner),
+		dispatcher.WithRecorder(d.journal),
+		dispatcher.WithSuspects(d.suspects))
+}
+
+// logHost returns the IP and port of the log service's checked address.
+func logHost(address string) string {
+	parsed, err := url.Parse(address)
+	if err != nil {
+		return address
+	}
+	return parsed.Host
+}
+
+// Run serves until ctx is done, then finishes the requests in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	duties, stop := d.startDuties(ctx)
+	served := servers.serve()
+	d.logger.Info("started", "node", d.self.ID, "callers", d.set.CallerAddress, "peers", d.set.PeerAddress, "zone", d.set.Zone)
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+	case err = <-duties:
+	}
+	if shutdownErr := d.shutdown(servers); err == nil {
+		err = shutdownErr
+	}
+	stop()
+	d.logger.Info("stopped", "node", d.self.ID)
+	return err
+}
--- /dev/null
+++ b/daemon/join.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/judge"
+	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/prober"
+)
+
+// inFlight counts requests for the registrar, which is built before the dispatcher.
+type inFlight struct{ d *Daemon }
+
+// InFlight returns the requests that run on a backend server.
+func (c inFlight) InFlight(id fleet.BackendID) int {
+	return c.d.dispatcher.InFlight(id)
+}
+
+// progress joins the prober with the keeper, which is built later.
+type progress struct{ d *Daemon }
+
+// Known returns the revision in force and the first offset not folded here.
+func (p progress) Known() (revision fleet.Revision, nextOffset uint64) {
+	state := p.d.keeper.State()
+	return state.Configuration().Revision(), state.NextOffset()
+}
+
+// Heard tells the keeper how far another node is.
+func (p progress) Heard(_ fleet.Member, _ fleet.Revision, nextOffset uint64) {
+	p.d.keeper.Notice(nextOffset)
+}
+
+// FetchState returns the folded state, or nil when it covers no more than known.
+func (p progress) FetchState(_ context.Context, known uint64) (*cowsliptallyv1.Checkpoint, error) {
+	state := p.d.keeper.State()
+	if state.NextOffset() <= known {
+		return nil, nil
+	}
+	return state.Checkpoint(), nil
+}
+
+// observer passes the results of attempts to the judge.
+type observer struct{ *judge.Judge }
+
+// Watch tells that an attempt goes to a backend server; done ends it.
+func (o observer) Watch(service fleet.ServiceName, id fleet.BackendID, kind fleet.RequestKind) (done func()) {
+	attempt := o.Pending(service, id, kind)
+	return func() { o.Done(attempt) }
+}
+
+// Nats returns this node's evidence against a backend server, or 0.
+func (o observer) Nats(id fleet.BackendID) float64 {
+	opinion, _ := o.Opinion(id)
+	return opinion.Nats
+}
+
+// facts gives what the fleet agreed on, from the newest fold.
+type facts struct{ d *Daemon }
+
+// Ejected returns the accepted ejection of a backend server.
+func (f facts) Ejected(id fleet.BackendID) (*cowsliptallyv1.Ejection, bool) {
+	return f.d.keeper.State().Ejected(id)
+}
+
+// Backend returns a joined backend server.
+func (f facts) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	return f.d.keeper.State().Backend(id)
+}
+
+// witness gives evidence to other nodes over HealthService.
+type witness struct{ d *Daemon }
+
+// Testify gives evidence to a node.
+func (w witness) Testify(
+	ctx context.Context, node fleet.NodeID, request *cowsliptallyv1.TestifyRequest,
+) (*cowsliptallyv1.TestifyResponse, error) {
+	member, found := w.d.roster.Member(node)
+	if !found {
+		return nil, connect.NewError(connect.CodeNotFound, errUnknownNode(node))
+	}
+	client := cowsliptallyv1connect.NewHealthServiceClient(w.d.client, "http://"+member.PeerAddress)
+	response, err := client.Testify(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// peerService answers PeerService with the prober, and FetchState with the keeper.
+type peerService struct {
+	*prober.Prober
+	keeper *keeper.Keeper
+}
+
+// FetchState returns what the node has folded beyond an offset.
+func (s peerService) FetchState(
+	ctx context.Context, request *connect.Request[cowsliptallyv1.FetchStateRequest],
+) (*connect.Response[cowsliptallyv1.FetchStateResponse], error) {
+	return s.keeper.FetchState(ctx, request)
+}
--- /dev/null
+++ b/daemon/server.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/journal"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes callers' connections that are not used.
+	idleTimeout = 2 * time.Minute
+	// callTimeout bounds a call to another node.
+	callTimeout = 2 * time.Second
+	// idlePerPeer is the number of unused connections kept to one peer for calls.
+	idlePerPeer = 2
+)
+
+// servers are the two HTTP servers of a node with their listeners.
+type servers struct {
+	callers, peers *http.Server
+	callerL, peerL net.Listener
+	errs           chan error
+}
+
+// listen opens both addresses.
+func (d *Daemon) listen() (*servers, error) {
+	callerL, err := net.Listen("tcp", d.set.CallerAddress)
+	if err != nil {
+		return nil, &Error{Operation: "listen on --caller-address", Kind: KindListen, Err: err}
+	}
+	peerL, err := net.Listen("tcp", d.set.PeerAddress)
+	if err != nil {
+		callerL.Close()
+		return nil, &Error{Operation: "listen on --peer-address", Kind: KindListen, Err: err}
+	}
+	s := &servers{
+		callers: newServer(d.callerRouter()),
+		peers:   newServer(d.peerRouter()),
+		callerL: callerL,
+		peerL:   peerL,
+		errs:    make(chan error, 2),
+	}
+	return s, nil
+}
+
+// serve starts both servers; a failure is sent on the channel.
+func (s *servers) serve() <-chan error {
+	go s.serveOne(s.callers, s.callerL)
+	go s.serveOne(s.peers, s.peerL)
+	return s.errs
+}
+
+func (s *servers) serveOne(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.errs <- &Error{Operation: "serve", Kind: KindListen, Err: err}
+	}
+}
+
+// close waits for connections in use and closes both servers.
+func (s *servers) close(ctx context.Context) error {
+	err := errors.Join(s.callers.Shutdown(ctx), s.peers.Shutdown(ctx))
+	return errors.Join(err, s.callers.Close(), s.peers.Close())
+}
+
+func newServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		Protocols:         protocols,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+func newClient() *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout}
+	return &http.Client{Transport: transport, Timeout: callTimeout}
+}
+
+func (d *Daemon) callerRouter() http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/*", d.forwarder)
+	return router
+}
+
+func (d *Daemon) peerRouter() http.Handler {
+	router := chi.NewRouter()
+	router.Handle(dispatcher.PathPrefix+"/*", d.dispatcher)
+	mount(router)(cowsliptallyv1connect.NewBackendServiceHandler(d.registrar))
+	mount(router)(cowsliptallyv1connect.NewPeerServiceHandler(peerService{d.prober, d.keeper}))
+	mount(router)(cowsliptallyv1connect.NewOperatorServiceHandler(d.operator))
+	mount(router)(cowsliptallyv1connect.NewRequestServiceHandler(d.dispatcher))
+	mount(router)(cowsliptallyv1connect.NewHealthServiceHandler(d.ejector))
+	mount(router)(journal.NewHandler(d.journal, d))
+	return router
+}
+
+// mount returns a function that adds a Connect handler under its path.
+func mount(router chi.Router) func(path string, handler http.Handler) {
+	return func(path string, handler http.Handler) {
+		router.Handle(path+"*", handler)
+	}
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+// Status returns this node's view of the fleet.
+func (d *Daemon) Status() *cowsliptallyv1.GetStatusResponse {
+	state := d.keeper.State()
+	response := &cowsliptallyv1.GetStatusResponse{
+		Node:       string(d.self.ID),
+		Revision:   uint64(state.Configuration().Revision()),
+		NextOffset: state.NextOffset(),
+		Log:        string(d.keeper.Status()),
+	}
+	for _, service := range state.Configuration().Services() {
+		response.Services = append(response.Services, d.serviceStatus(service))
+	}
+	for _, member := range d.roster.Members() {
+		response.Members = append(response.Members, translator.MemberToMessage(member))
+	}
+	return response
+}
+
+func (d *Daemon) serviceStatus(service fleet.Service) *cowsliptallyv1.ServiceStatus {
+	status := &cowsliptallyv1.ServiceStatus{
+		Name:            string(service.Name),
+		MinHealthySlots: uint32(service.MinHealthySlots),
+	}
+	for _, backend := range d.roster.All(service.Name) {
+		health := d.judge.Health(backend.ID)
+		if health != fleet.Ejected && backend.TakesWork() {
+			status.HealthySlots += uint32(backend.Slots)
+		}
+		status.Backends = append(status.Backends, d.backendStatus(backend, health))
+	}
+	return status
+}
+
+func (d *Daemon) backendStatus(backend fleet.Backend, health fleet.Health) *cowsliptallyv1.BackendStatus {
+	status := &cowsliptallyv1.BackendStatus{
+		Backend: translator.BackendToMessage(backend),
+		Health:  cowsliptallyv1.HealthState(health),
+	}
+	if ejection, found := d.keeper.State().Ejected(backend.ID); found {
+		status.Reason = ejection.GetReason()
+		return status
+	}
+	if opinion, found := d.judge.Opinion(backend.ID); found {
+		status.Reason = string(opinion.Cause)
+	}
+	return status
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -215,7 +216,7 @@
 
 // endReason says whether a context ended by its deadline or by its caller.
 func endReason(ctx context.Context) fleet.Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fleet.ReasonDeadline
 	}
 	return fleet.ReasonCancelled
--- a/settings/node.go
+++ b/settings/node.go
@@ -19,19 +19,20 @@
 // Node is the settings of one node. Each field is a flag and an environment
 // variable, such as --caller-address and COWSLIPTALLY_CALLER_ADDRESS.
 type Node struct {
-	Name          string        `help:"Name in logs and events; each start adds a random suffix." default:"node"`
-	CallerAddress string        `help:"Address that callers send requests to." required:"" placeholder:"IP:PORT"`
-	PeerAddress   string        `help:"Address for other nodes, for backend servers of this VM and for operators." required:"" placeholder:"IP:PORT"`
-	Zone          string        `help:"Availability zone of this VM." required:""`
-	Region        string        `help:"Region of this VM." default:"local"`
-	Peers         []string      `help:"Peer addresses of some other nodes, separated by commas; one that answers is enough." placeholder:"IP:PORT"`
-	Log           string        `help:"Base address of the platform's log service." required:"" placeholder:"URL"`
-	LogLevel      string        `help:"Least severe log lines that are written: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
-	Timeout       time.Duration `help:"Time limit of requests that name none." default:"10s"`
-	MaxBody       int64         `help:"Largest request body, in bytes; a larger one is refused with 413." default:"8388608"`
-	MaxAnswer     int64         `help:"Largest answer that is held until it is whole, in bytes; a larger one is streamed." default:"4194304"`
-	Memory        int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
-	Shutdown      time.Duration `help:"Longest wait for requests in flight after SIGTERM." default:"30s"`
+	Name                  string        `help:"Name in logs and events; each start adds a random suffix." default:"node"`
+	CallerAddress         string        `help:"Address that callers send requests to." required:"" placeholder:"IP:PORT"`
+	PeerAddress           string        `help:"Address for other nodes, for backend servers of this VM and for operators." required:"" placeholder:"IP:PORT"`
+	AdvertisedPeerAddress string        `help:"Peer address that other nodes are told; by default --peer-address." placeholder:"IP:PORT"`
+	Zone                  string        `help:"Availability zone of this VM." required:""`
+	Region                string        `help:"Region of this VM." default:"local"`
+	Peers                 []string      `help:"Peer addresses of some other nodes, separated by commas; one that answers is enough." placeholder:"IP:PORT"`
+	Log                   string        `help:"Base address of the platform's log service." required:"" placeholder:"URL"`
+	LogLevel              string        `help:"Least severe log lines that are written: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	Timeout               time.Duration `help:"Time limit of requests that name none." default:"10s"`
+	MaxBody               int64         `help:"Largest request body, in bytes; a larger one is refused with 413." default:"8388608"`
+	MaxAnswer             int64         `help:"Largest answer that is held until it is whole, in bytes; a larger one is streamed." default:"4194304"`
+	Memory                int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
+	Shutdown              time.Duration `help:"Longest wait for requests in flight after SIGTERM." default:"30s"`
 }
 
 // Check returns the first wrong setting as an *Error.
@@ -40,6 +41,7 @@
 		func() error { return checkWord("--name", n.Name) },
 		func() error { return checkAddress("--caller-address", n.CallerAddress) },
 		func() error { return checkAddress("--peer-address", n.PeerAddress) },
+		n.checkAdvertised,
 		func() error { return checkWord("--zone", n.Zone) },
 		func() error { return checkWord("--region", n.Region) },
 		n.checkPeers,
@@ -68,6 +70,13 @@
 	return nil
 }
 
+func (n Node) checkAdvertised() error {
+	if n.AdvertisedPeerAddress == "" {
+		return nil
+	}
+	return checkAddress("--advertised-peer-address", n.AdvertisedPeerAddress)
+}
+
 func (n Node) checkLog() error {
 	address, err := url.Parse(n.Log)
 	if err != nil || address.Scheme != "http" && address.Scheme != "https" || address.Host == "" {
--- a/standin/logservice/main.go
+++ b/standin/logservice/main.go
@@ -2,7 +2,12 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -31,7 +36,10 @@
 	}
 	log.SetFormatter(log.LogfmtFormatter)
 	log.Info("listening", "address", set.Listen)
-	if err := listener.ListenAndServe(); err != nil {
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, func() { listener.Close() })
+	if err := listener.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		log.Fatal("stopped", "error", err)
 	}
+	log.Info("stopped")
 }
