--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -35,10 +35,10 @@
 		a.dispatcher.refuse(w, a.call, refused(reason), "the request got no slot")
 		return
 	}
-	if reason := a.begin(ctx); reason != "" {
+	if outcome := a.begin(ctx); outcome.Reason != "" {
 		a.gate.leave(id, a.call.kind, 0)
 		beats.stop()
-		a.dispatcher.refuse(w, a.call, refused(reason), "the request was stopped before it was dispatched")
+		a.dispatcher.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
 	}
 	start := a.dispatcher.clock.Now()
@@ -47,6 +47,9 @@
 	beats.stop()
 	defer result.close()
 	a.observe(result, took)
+	if result.outcome.Executed == fleet.ExecutedYes {
+		a.dispatcher.clear(a.call.identity)
+	}
 	if result.outcome.Executed != fleet.ExecutedYes {
 		a.gate.leave(id, a.call.kind, 0)
 		a.dispatcher.refuse(w, a.call, result.outcome, result.message)
@@ -62,22 +65,25 @@
 }
 
 // begin checks all that may have changed while the attempt waited, then counts it as dispatched.
-func (a *attempt) begin(ctx context.Context) fleet.Reason {
+func (a *attempt) begin(ctx context.Context) fleet.Outcome {
 	if ctx.Err() != nil {
-		return endReason(ctx)
+		return refused(endReason(ctx))
 	}
 	if _, reason := a.dispatcher.available(a.call); reason != "" {
-		return reason
+		return refused(reason)
+	}
+	if reason := a.dispatcher.suspicion(a.call); reason != "" {
+		return refused(reason)
 	}
 	switch a.dispatcher.sealer.Begin(a.call.sealing()) {
 	case sealer.Begun:
-		return ""
+		return fleet.Outcome{}
 	case sealer.Sealed:
-		return fleet.ReasonSealed
+		return refused(fleet.ReasonSealed)
 	case sealer.Duplicate:
-		return fleet.ReasonDuplicate
+		return unknown(fleet.ReasonDuplicate)
 	default:
-		return fleet.ReasonTicket
+		return refused(fleet.ReasonTicket)
 	}
 }
 
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -21,6 +21,7 @@
 	attempt      int
 	weight       int
 	idempotent   bool
+	trial        bool
 	deadline     time.Time
 }
 
@@ -34,6 +35,7 @@
 		identity:     header.Get(fleet.HeaderIdentity),
 		ticket:       header.Get(fleet.HeaderTicket),
 		idempotent:   header.Get(fleet.HeaderIdempotent) == "true",
+		trial:        header.Get(fleet.HeaderTrial) == "true",
 	}
 	if c.request == "" || c.backend == "" {
 		return call{}, fmt.Errorf("headers %s and %s are needed", fleet.HeaderRequest, fleet.HeaderBackend)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 	observer       Observer
 	recorder       Recorder
 	suspects       Suspects
+	members        Members
 	sealer         *sealer.Sealer
 	guard          *guard.Guard
 	poisoner       *poisoner.Poisoner
@@ -62,6 +63,7 @@
 		observer:       none{},
 		recorder:       none{},
 		suspects:       none{},
+		members:        none{},
 		bodyBound:      DefaultBodyBound,
 		answerBound:    DefaultAnswerBound,
 		heartbeat:      DefaultHeartbeat,
@@ -97,6 +99,31 @@
 	d.answers = collector.New(d.memory, d.answerBound)
 }
 
+// Run keeps the guard's view of the members until ctx is done.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := d.clock.NewTicker(watchSpacing)
+	defer ticker.Stop()
+	for {
+		d.watch()
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// watch tells the guard which nodes are members.
+func (d *Dispatcher) watch() {
+	var nodes []fleet.NodeID
+	for _, member := range d.members.Members() {
+		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
+			nodes = append(nodes, member.ID)
+		}
+	}
+	d.guard.Watch(nodes)
+}
+
 // InFlight returns the requests that run on a backend server.
 func (d *Dispatcher) InFlight(id fleet.BackendID) int {
 	d.mu.Lock()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -148,7 +149,7 @@
 
 // endReason says whether a context ended by its deadline or by its caller.
 func endReason(ctx context.Context) fleet.Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fleet.ReasonDeadline
 	}
 	return fleet.ReasonCancelled
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -21,6 +21,8 @@
 	DefaultMemory = 24 << 20
 	// DefaultHeartbeat is the spacing of the signs of life sent while a request runs.
 	DefaultHeartbeat = 250 * time.Millisecond
+	// watchSpacing is the time between two looks at the members.
+	watchSpacing = time.Second
 	// probeTimeout bounds the fresh connection that tells a crash from a lost connection.
 	probeTimeout = 250 * time.Millisecond
 	// reportTimeout bounds the wait for peers to hear of a crash before the caller does.
@@ -90,6 +92,11 @@
 	return func(d *Dispatcher) { d.answerBound = bound }
 }
 
+// WithMembers sets the source of the nodes that may guard idempotency keys.
+func WithMembers(members Members) Option {
+	return func(d *Dispatcher) { d.members = members }
+}
+
 // WithHeartbeat sets the spacing of the signs of life sent while a request runs.
 func WithHeartbeat(spacing time.Duration) Option {
 	return func(d *Dispatcher) { d.heartbeat = spacing }
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -36,6 +36,11 @@
 	Clear(ctx context.Context, identity string)
 }
 
+// Members knows the nodes of the fleet.
+type Members interface {
+	Members() []fleet.Member
+}
+
 // none stands in for parts that were not given.
 type none struct{}
 
@@ -43,4 +48,5 @@
 func (none) Record(fleet.Event)                                {}
 func (none) Report(context.Context, fleet.BackendID, []string) {}
 func (none) Clear(context.Context, string)                     {}
+func (none) Members() []fleet.Member                           { return nil }
 func (none) Configuration() fleet.Configuration                { return fleet.Configuration{} }
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -25,6 +25,10 @@
 
 // Grant lets an idempotency key, or the trial run of a suspect, run once.
 func (d *Dispatcher) Grant(_ context.Context, r *connect.Request[cowsliptallyv1.GrantRequest]) (*connect.Response[cowsliptallyv1.GrantResponse], error) {
+	if identity, trial := trialIdentity(r.Msg.GetService(), r.Msg.GetKey()); trial {
+		granted := d.poisoner.Try(d.node, identity)
+		return connect.NewResponse(&cowsliptallyv1.GrantResponse{Granted: granted}), nil
+	}
 	verdict := d.guard.Grant(fleet.ServiceName(r.Msg.GetService()), r.Msg.GetKey(), r.Msg.GetRequest())
 	response := &cowsliptallyv1.GrantResponse{Granted: verdict.Granted, Reason: string(verdict.Reason)}
 	return connect.NewResponse(response), nil
@@ -32,6 +36,10 @@
 
 // Release takes a granted key back.
 func (d *Dispatcher) Release(_ context.Context, r *connect.Request[cowsliptallyv1.ReleaseRequest]) (*connect.Response[cowsliptallyv1.ReleaseResponse], error) {
+	if identity, trial := trialIdentity(r.Msg.GetService(), r.Msg.GetKey()); trial {
+		d.poisoner.EndTrial(identity)
+		return connect.NewResponse(&cowsliptallyv1.ReleaseResponse{}), nil
+	}
 	d.guard.Release(fleet.ServiceName(r.Msg.GetService()), r.Msg.GetKey(), r.Msg.GetRequest())
 	return connect.NewResponse(&cowsliptallyv1.ReleaseResponse{}), nil
 }
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -40,6 +40,8 @@
 	HeaderTicket = "Cowsliptally-Ticket"
 	// HeaderWeight carries the worth of the request between nodes.
 	HeaderWeight = "Cowsliptally-Weight"
+	// HeaderTrial carries "true" on the one permitted run of a suspect.
+	HeaderTrial = "Cowsliptally-Trial"
 	// HeaderIdentity carries the request's identity between nodes, the same for each re-sending.
 	HeaderIdentity = "Cowsliptally-Identity"
 )
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -50,6 +50,9 @@
 	ReasonBadRequest Reason = "badrequest"
 	// ReasonTicket means that the owner could no longer tell a late attempt from a new one.
 	ReasonTicket Reason = "ticket"
+	// ReasonSuspect means that the request was in a slot of a backend server that
+	// crashed, and that its trial run is not over.
+	ReasonSuspect Reason = "suspect"
 )
 
 // Reasons lists every reason.
@@ -59,6 +62,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonGuard,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonSilent,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
-		ReasonTicket,
+		ReasonTicket, ReasonSuspect,
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -67,6 +68,7 @@
 	r.Header.Set(fleet.HeaderIdempotent, strconv.FormatBool(s.idempotent))
 	r.Header.Set(fleet.HeaderIdentity, s.identity)
 	r.Header.Set(fleet.HeaderTicket, ticket)
+	r.Header.Set(fleet.HeaderTrial, strconv.FormatBool(s.trialNode != ""))
 	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	r.RequestURI = ""
 	r.URL.Scheme = "http"
@@ -211,7 +213,7 @@
 
 // endReason says whether a context ended by its deadline or by its caller.
 func endReason(ctx context.Context) fleet.Reason {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fleet.ReasonDeadline
 	}
 	return fleet.ReasonCancelled
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,6 +128,10 @@
 			refused(fleet.ReasonNotReady, "this node knows no configuration yet"))
 		return
 	}
+	if r.URL.Path == KeyPath {
+		f.issueKey(w)
+		return
+	}
 	s, reason, err := f.parse(r)
 	if err != nil {
 		f.refuse(w, s, refused(reason, err.Error()))
@@ -145,7 +149,12 @@
 
 // serve finds an answer for an accepted submission and gives it to the caller.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
+	if refusal := f.admitSuspect(ctx, s); refusal != nil {
+		f.refuse(w, s, refusal)
+		return
+	}
 	if refusal := f.obtain(ctx, s); refusal != nil {
+		f.endTrial(s)
 		f.refuse(w, s, refusal)
 		return
 	}
@@ -156,12 +165,13 @@
 		return
 	}
 	if found.outcome.Executed == fleet.ExecutedNo {
+		f.endTrial(s)
 		f.release(s)
 	}
 	f.refuse(w, s, found)
 }
 
-// accept checks the organisation's limit, holds the body and checks the identity.
+// accept checks the organisation's limit and holds the body.
 func (f *Forwarder) accept(w http.ResponseWriter, s *submission) *result {
 	limit, limited := f.configurations.Configuration().Limit(s.organisation)
 	if limited && !f.limiter.Allow(limit) {
@@ -174,11 +184,7 @@
 	}
 	f.limitReading(w, time.Time{})
 	s.content = content
-	s.identity = identify(s.key, s.request, content.Bytes())
-	if standing, _ := f.poisoner.Standing(s.identity); standing == poisoner.Poison {
-		content.Release()
-		return refused(fleet.ReasonPoison, "this request crashed two backend servers")
-	}
+	s.identity = identify(s.request, content.Bytes())
 	return nil
 }
 
--- a/forwarder/grant.go
+++ b/forwarder/grant.go
@@ -38,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
-	return f.peers.grant(ctx, member.PeerAddress, s)
+	return f.peers.grant(ctx, member.PeerAddress, s.service, s.key, s.holder)
 }
 
 // release gives the key back after proof that the submission did not and will not run.
@@ -58,5 +58,5 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sealTimeout)
 	defer cancel()
 	// A key whose release is lost stays granted: it will not run again.
-	_ = f.peers.release(ctx, member.PeerAddress, s)
+	_ = f.peers.release(ctx, member.PeerAddress, s.service, s.key, s.holder)
 }
--- a/forwarder/identity.go
+++ b/forwarder/identity.go
@@ -1,20 +1,30 @@
 package forwarder
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"fmt"
 	"net/http"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Seeds of the two halves of an identity.
+const (
+	firstSeed  = 0
+	secondSeed = 0x9e3779b97f4a7c15
 )
 
-// identify returns what is the same each time a caller sends a request: its key, or
-// a hash of its method, path and body.
-func identify(key string, r *http.Request, content []byte) string {
-	if key != "" {
-		return "key:" + key
-	}
-	hash := sha256.New()
-	_, _ = hash.Write([]byte(strings.Join([]string{r.Method, r.Host, r.URL.RequestURI(), ""}, "\x00")))
-	_, _ = hash.Write(content)
-	return "hash:" + hex.EncodeToString(hash.Sum(nil)[:16])
+// identify returns what is the same each time a caller sends a request: a hash of
+// its method, host, path and body. Its idempotency key is left out, so that a new
+// key does not make it another request.
+func identify(r *http.Request, content []byte) string {
+	head := strings.Join([]string{r.Method, r.Host, r.URL.RequestURI(), ""}, "\x00")
+	return fmt.Sprintf("%016x%016x", half(firstSeed, head, content), half(secondSeed, head, content))
+}
+
+func half(seed uint64, head string, content []byte) uint64 {
+	digest := xxhash.NewWithSeed(seed)
+	_, _ = digest.WriteString(head)
+	_, _ = digest.Write(content)
+	return digest.Sum64()
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -39,8 +39,8 @@
 }
 
 // grant asks a guard for a key.
-func (p *peers) grant(ctx context.Context, address string, s *submission) (bool, fleet.Reason, error) {
-	message := &cowsliptallyv1.GrantRequest{Service: string(s.service), Key: s.key, Request: s.holder}
+func (p *peers) grant(ctx context.Context, address string, service fleet.ServiceName, key, holder string) (bool, fleet.Reason, error) {
+	message := &cowsliptallyv1.GrantRequest{Service: string(service), Key: key, Request: holder}
 	response, err := p.to(address).Grant(ctx, connect.NewRequest(message))
 	if err != nil {
 		return false, fleet.ReasonGuard, err
@@ -49,8 +49,8 @@
 }
 
 // release gives a key back to its guard.
-func (p *peers) release(ctx context.Context, address string, s *submission) error {
-	message := &cowsliptallyv1.ReleaseRequest{Service: string(s.service), Key: s.key, Request: s.holder}
+func (p *peers) release(ctx context.Context, address string, service fleet.ServiceName, key, holder string) error {
+	message := &cowsliptallyv1.ReleaseRequest{Service: string(service), Key: key, Request: holder}
 	_, err := p.to(address).Release(ctx, connect.NewRequest(message))
 	return err
 }
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -32,6 +32,8 @@
 	idempotent   bool
 	deadline     time.Time
 	granted      bool
+	// trialNode permitted the trial run of this suspect; it is empty for others.
+	trialNode fleet.NodeID
 }
 
 // parse reads what a request asks for.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -164,7 +164,7 @@
 		return now - g.window, true
 	}
 	stamp := stamped.Sub(g.start)
-	if stamp > now+g.margin || stamp < now-g.window+g.margin {
+	if stamp > now+g.margin {
 		return 0, false
 	}
 	return stamp - g.margin, true
--- a/poisoner/poisoner.go
+++ b/poisoner/poisoner.go
@@ -87,7 +87,7 @@
 	return r.standing(), r.reporter
 }
 
-// Try permits the one trial run of a suspect at the node that reported its crash.
+// Try permits one trial run of a suspect at a time, at the node that reported its crash.
 func (p *Poisoner) Try(node fleet.NodeID, identity string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,13 +95,23 @@
 	if r == nil {
 		return true
 	}
-	if r.standing() == Poison || r.reporter != node || r.tried {
+	now := p.clock.Now()
+	if r.standing() == Poison || r.reporter != node || now.Before(r.trialEnd) {
 		return false
 	}
-	r.tried = true
+	r.trialEnd = now.Add(TrialDuration)
 	return true
 }
 
+// EndTrial takes a permission back, because the trial run did not and will not take place.
+func (p *Poisoner) EndTrial(identity string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.find(identity); r != nil {
+		r.trialEnd = time.Time{}
+	}
+}
+
 // Len returns the number of identities remembered.
 func (p *Poisoner) Len() int {
 	p.mu.Lock()
--- a/poisoner/record.go
+++ b/poisoner/record.go
@@ -13,8 +13,8 @@
 	// reporter is the node that saw the first crash; it alone permits the trial run.
 	reporter fleet.NodeID
 	updated  time.Time
-	// tried is set at the reporter once the trial run was permitted.
-	tried bool
+	// trialEnd is set at the reporter: no other trial run is permitted before it.
+	trialEnd time.Time
 }
 
 func (r record) standing() Standing {
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -115,14 +115,14 @@
 	if fresh {
 		p.Renew(address)
 	}
-	response, err := p.pool(address).RoundTrip(request)
+	var err error
+	exchange.Response, err = p.pool(address).RoundTrip(request)
 	if err == nil {
-		exchange.Response = response
 		exchange.Sent = true
 		return exchange, nil
 	}
 	if used != nil {
-		used.Close()
+		_ = used.Close()
 		exchange.Sent = used.writes.Load() != before
 	}
 	cause := context.Cause(ctx)
--- a/sealer/option.go
+++ b/sealer/option.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// DefaultWindow is how old a ticket may be, and so how long entries are kept.
+	// DefaultWindow is how long an entry is kept after its last change.
 	DefaultWindow = 30 * time.Second
 	// DefaultCapacity is the number of submissions remembered at a time.
 	DefaultCapacity = 65_536
@@ -14,7 +14,7 @@
 // Option changes a setting of a Sealer.
 type Option func(*Sealer)
 
-// WithWindow sets how old a ticket may be.
+// WithWindow sets how long an entry is kept after its last change.
 func WithWindow(window time.Duration) Option {
 	return func(s *Sealer) { s.window = window }
 }
--- a/sealer/sealer.go
+++ b/sealer/sealer.go
@@ -30,7 +30,7 @@
 	entries map[fleet.RequestID]*list.Element
 	// order holds the entries by time of change, oldest first.
 	order *list.List
-	// floor is the time of the youngest entry forgotten before its window ended.
+	// floor is the time of the youngest forgotten entry; tickets up to it are stale.
 	floor time.Duration
 }
 
@@ -61,14 +61,14 @@
 func (s *Sealer) Fresh(ticket string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fresh(ticket, s.clock.Since(s.start))
+	return s.fresh(ticket, s.forget())
 }
 
 // Begin asks to dispatch an attempt. After Begun it counts as dispatched until Undo.
 func (s *Sealer) Begin(a Attempt) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Since(s.start)
+	now := s.forget()
 	if a.Number < 1 || a.Number > MaxAttempt || !s.fresh(a.Ticket, now) {
 		return Stale
 	}
@@ -98,7 +98,7 @@
 func (s *Sealer) Seal(a Attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Since(s.start)
+	now := s.forget()
 	if a.Number < 1 || a.Number > MaxAttempt || !s.fresh(a.Ticket, now) {
 		return false
 	}
@@ -120,12 +120,11 @@
 
 func (s *Sealer) fresh(ticket string, now time.Duration) bool {
 	stamp, valid := parseTicket(s.node, ticket)
-	return valid && stamp <= now && stamp >= now-s.window && stamp > s.floor
+	return valid && stamp <= now && stamp > s.floor
 }
 
 // change returns the entry of a submission, made if needed, as the youngest one.
 func (s *Sealer) change(request fleet.RequestID, now time.Duration) *entry {
-	s.forget(now)
 	if element, found := s.entries[request]; found {
 		e := element.Value.(*entry)
 		e.updated = now
@@ -140,14 +139,17 @@
 	return e
 }
 
-// forget drops entries whose window ended; their tickets are stale by age alone.
-func (s *Sealer) forget(now time.Duration) {
+// forget drops entries whose window ended and returns the time. It goes before
+// fresh, because what it drops makes tickets stale.
+func (s *Sealer) forget() time.Duration {
+	now := s.clock.Since(s.start)
 	for front := s.order.Front(); front != nil; front = s.order.Front() {
 		if front.Value.(*entry).updated >= now-s.window {
-			return
+			break
 		}
 		s.drop(front)
 	}
+	return now
 }
 
 func (s *Sealer) drop(element *list.Element) {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -59,7 +59,7 @@
 		group.Go(func() {
 			defer func() { <-places }()
 			client := cowsliptallyv1connect.NewRequestServiceClient(s.client, "http://"+member.PeerAddress)
-			// A node that cannot be told learns of the next crash; the limits it lacks are stated in docs.
+			// A node that cannot be told still refuses what the others' answers tell it.
 			_, _ = client.Suspect(ctx, connect.NewRequest(message))
 		})
 	}
