--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -40,6 +40,11 @@
 	Clear(ctx context.Context, identity string)
 }
 
+// Members knows the nodes of the fleet.
+type Members interface {
+	Members() []fleet.Member
+}
+
 // none stands in for parts that were not given.
 type none struct{}
 
@@ -50,3 +55,4 @@
 func (none) Report(context.Context, fleet.BackendID, []string)                  {}
 func (none) Clear(context.Context, string)                                      {}
 func (none) Configuration() fleet.Configuration                                 { return fleet.Configuration{} }
+func (none) Members() []fleet.Member                                            { return nil }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -69,6 +69,7 @@
 	r.Header.Set(fleet.HeaderIdempotent, strconv.FormatBool(s.idempotent))
 	r.Header.Set(fleet.HeaderIdentity, s.identity)
 	r.Header.Set(fleet.HeaderTicket, ticket)
+	r.Header.Set(fleet.HeaderTrial, strconv.FormatBool(s.trialNode != ""))
 	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	r.RequestURI = ""
 	r.URL.Scheme = "http"
