--- a/standin/backend/server/settings.go
+++ b/standin/backend/server/settings.go
@@ -12,7 +12,7 @@
 	defaultSpread      = 0.3
 	defaultSeed        = 1
 	coldFactor         = 4.0
-	announcePeriod     = time.Second
+	leavePeriod        = 50 * time.Millisecond
 	drainTimeout       = 20 * time.Second
 	maxBody            = 64 << 20
 )
