Explain what the fleet did, from the journals of many nodes

Cause: every node records the same ejection; a person wants one line with the evidence. Records of facts that follow from the log are joined within 30 s, others never.

--- /dev/null
+++ b/explainer/line.go
@@ -0,0 +1,65 @@
+package explainer
+
+import (
+	"slices"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// Line is one thing that happened, with the nodes that recorded it.
+type Line struct {
+	Time    time.Time       `json:"time"`
+	Kind    fleet.EventKind `json:"kind"`
+	Service string          `json:"service,omitempty"`
+	Subject string          `json:"subject,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
+	Figures []Figure        `json:"figures,omitempty"`
+	Nodes   []string        `json:"nodes"`
+	// Spread is the time from the first node's record to the last one's.
+	Spread time.Duration `json:"spread_ns"`
+}
+
+// newLine returns the line of one event.
+func newLine(event fleet.Event) Line {
+	return Line{
+		Time: event.Time, Kind: event.Kind, Service: string(event.Service), Subject: event.Subject,
+		Reason: event.Reason, Figures: newFigures(event.Figures), Nodes: []string{string(event.Node)},
+	}
+}
+
+// Figure is one number of the evidence.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit,omitempty"`
+}
+
+func newFigures(list []fleet.Figure) []Figure {
+	figures := make([]Figure, 0, len(list))
+	for _, figure := range list {
+		figures = append(figures, Figure(figure))
+	}
+	return figures
+}
+
+// holds reports whether an event is another node's record of the same fact.
+func (l Line) holds(event fleet.Event) bool {
+	return isAgreed(event.Kind) && l.Kind == event.Kind && l.Subject == event.Subject &&
+		l.Reason == event.Reason && event.Time.Sub(l.Time) <= sameFactTime && !l.from(string(event.Node))
+}
+
+func (l Line) from(node string) bool { return slices.Contains(l.Nodes, node) }
+
+// isAgreed reports whether every node records events of this kind, since they
+// follow from the log.
+func isAgreed(kind fleet.EventKind) bool {
+	switch kind {
+	case fleet.EventEjection, fleet.EventEjectionRefused, fleet.EventReturn, fleet.EventReadmission,
+		fleet.EventAccepted, fleet.EventConflict, fleet.EventBackend, fleet.EventMember, fleet.EventLog,
+		fleet.EventPoison, fleet.EventSkipped:
+		return true
+	default:
+		return false
+	}
+}
