Say request events in the same words for requests and services

Cause: the story of a request and that of a service named the same event in different words. Ruled out: one text for all subjects, which loses the request's identifier. Before: two wordings. Conclusion: the stories read alike.

--- a/explainer/text.go
+++ b/explainer/text.go
@@ -63,9 +63,9 @@
 func deed(kind fleet.EventKind) string {
 	switch kind {
 	case fleet.EventRefusal:
-		return "refused request %"
+		return "refused %"
 	case fleet.EventRetry:
-		return "tried again after a failed attempt, %"
+		return "tried again after a failed attempt at %"
 	case fleet.EventDegradation:
 		return "degraded %, by this node alone"
 	case fleet.EventRecovery:
@@ -79,7 +79,7 @@
 	case fleet.EventReadmission:
 		return "uses % although ejected, to keep the floor"
 	case fleet.EventPoison:
-		return "refuses request % from now on"
+		return "refuses % from now on"
 	case fleet.EventCrash:
 		return "saw % die"
 	case fleet.EventAccepted:
@@ -95,7 +95,7 @@
 	case fleet.EventSkipped:
 		return "skipped a record of the log"
 	case fleet.EventSealed:
-		return "sealed request %, which did not run and never will"
+		return "sealed %, which did not run and never will"
 	case fleet.EventSilent:
 		return "dropped a connection to % that made no progress"
 	default:
