--- /dev/null
+++ b/assessor/text.go
@@ -0,0 +1,35 @@
+package assessor
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Text returns the assessment for people to read.
+func (a Assessment) Text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seen by %s: revision %d in force, log service %s, %d nodes alive, %d suspected or dead\n",
+		a.Node, a.Revision, a.Log, a.Alive, a.Away)
+	for _, service := range a.Services {
+		fmt.Fprintf(&text, "service %s: %d healthy slots, floor %d, %d backend servers\n",
+			service.Name, service.HealthySlots, service.FloorSlots, service.Backends)
+		for _, doubted := range service.Doubted {
+			line := fmt.Sprintf("  %s is %s and %s", doubted.ID, doubted.Health, doubted.State)
+			if doubted.Reason != "" {
+				line += ": " + doubted.Reason
+			}
+			text.WriteString(line + "\n")
+		}
+	}
+	for _, node := range a.Behind {
+		line := fmt.Sprintf("behind: %s has revision %d", node.Node, node.Revision)
+		if node.Failure != "" {
+			line = fmt.Sprintf("behind: %s gave no answer: %s", node.Node, node.Failure)
+		}
+		text.WriteString(line + "\n")
+	}
+	for _, risk := range a.Risks {
+		text.WriteString("at risk: " + risk + "\n")
+	}
+	return text.String()
+}
