Wire checkpoints, joins and leaves, explain and status into the node

Cause: the fold knew no backend servers, so no ejection could be judged against the floor, and nothing kept the stream from expiring. Ruled out: joins appended by the registrar itself, which would block announcements while the log is down. Before: the fold held only the configuration.

--- a/command/root.go
+++ b/command/root.go
@@ -23,6 +23,10 @@
 	Wait    time.Duration    `help:"Longest wait for the node's answer." default:"10s"`
 
 	Node      Node      `cmd:"" help:"Run a node beside the backend servers of this VM."`
+	Status    Status    `cmd:"" help:"Show services, capacity, nodes and the log service; fails if a promise is at risk."`
+	Explain   Explain   `cmd:"" help:"Tell what happened to a backend server, a request or a service."`
+	Events    Events    `cmd:"" help:"List a node's journal."`
+	Counters  Counters  `cmd:"" help:"List a node's counters."`
 	Apply     Apply     `cmd:"" help:"Bring the configuration to what a file says."`
 	Diff      Diff      `cmd:"" help:"Show what apply would change."`
 	Export    Export    `cmd:"" help:"Print the configuration as a file for apply."`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"cowsliptally.example/cowsliptally/accountant"
 	"cowsliptally.example/cowsliptally/balancer"
+	"cowsliptally.example/cowsliptally/checkpointer"
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/ejector"
 	"cowsliptally.example/cowsliptally/fetcher"
@@ -27,6 +28,7 @@
 	"cowsliptally.example/cowsliptally/operator"
 	"cowsliptally.example/cowsliptally/poisoner"
 	"cowsliptally.example/cowsliptally/prober"
+	"cowsliptally.example/cowsliptally/reconciler"
 	"cowsliptally.example/cowsliptally/registrar"
 	"cowsliptally.example/cowsliptally/roster"
 	"cowsliptally.example/cowsliptally/settings"
@@ -44,22 +46,24 @@
 	logger *log.Logger
 	client *http.Client
 
-	journal    *journal.Journal
-	keeper     *keeper.Keeper
-	fetcher    *fetcher.Fetcher
-	operator   *operator.Operator
-	roster     *roster.Roster
-	registrar  *registrar.Registrar
-	prober     *prober.Prober
-	judge      *judge.Judge
-	balancer   *balancer.Balancer
-	ejector    *ejector.Ejector
-	poisoner   *poisoner.Poisoner
-	guard      *guard.Guard
-	memory     *accountant.Accountant
-	suspects   *suspects
-	forwarder  *forwarder.Forwarder
-	dispatcher *dispatcher.Dispatcher
+	journal      *journal.Journal
+	keeper       *keeper.Keeper
+	fetcher      *fetcher.Fetcher
+	operator     *operator.Operator
+	reconciler   *reconciler.Reconciler
+	checkpointer *checkpointer.Checkpointer
+	roster       *roster.Roster
+	registrar    *registrar.Registrar
+	prober       *prober.Prober
+	judge        *judge.Judge
+	balancer     *balancer.Balancer
+	ejector      *ejector.Ejector
+	poisoner     *poisoner.Poisoner
+	guard        *guard.Guard
+	memory       *accountant.Accountant
+	suspects     *suspects
+	forwarder    *forwarder.Forwarder
+	dispatcher   *dispatcher.Dispatcher
 }
 
 // New returns a node with checked settings; Run starts it.
@@ -119,6 +123,11 @@
 		keeper.WithPeers(d.fetcher),
 		keeper.WithRecorder(d.journal))
 	d.operator = operator.New(d.self.ID, d.keeper, d.fetcher, operator.WithClock(d.clock))
+	d.reconciler = reconciler.New(d.self.ID, d.keeper, d.registrar.Local, d.roster.Members,
+		reconciler.WithClock(d.clock))
+	d.checkpointer = checkpointer.New(d.self.ID, d.keeper, d.roster.Members,
+		checkpointer.WithClock(d.clock),
+		checkpointer.WithInterval(d.set.Checkpoint))
 }
 
 func (d *Daemon) buildHealth() {
@@ -162,6 +171,7 @@
 		dispatcher.WithClock(d.clock),
 		dispatcher.WithConfigurations(d.keeper),
 		dispatcher.WithGuard(d.guard),
+		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
 		dispatcher.WithObserver(observer{d.judge}),
 		dispatcher.WithPoisoner(d.poisoner),
--- a/daemon/duty.go
+++ b/daemon/duty.go
@@ -20,6 +20,8 @@
 func (d *Daemon) duties() []duty {
 	return []duty{
 		{"keeper", d.keeper.Run},
+		{"reconciler", d.reconciler.Run},
+		{"checkpointer", d.checkpointer.Run},
 		{"registrar", d.registrar.Run},
 		{"prober", d.prober.Run},
 		{"ejector", d.ejector.Run},
--- a/settings/node.go
+++ b/settings/node.go
@@ -27,6 +27,7 @@
 	Region                string        `help:"Region of this VM." default:"local"`
 	Peers                 []string      `help:"Peer addresses of some other nodes, separated by commas; one that answers is enough." placeholder:"IP:PORT"`
 	Log                   string        `help:"Base address of the platform's log service." required:"" placeholder:"URL"`
+	Checkpoint            time.Duration `help:"Longest time between checkpoints; well below the log service's retention time." default:"1h"`
 	LogLevel              string        `help:"Least severe log lines that are written: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	Timeout               time.Duration `help:"Time limit of requests that name none." default:"10s"`
 	MaxBody               int64         `help:"Largest request body, in bytes; a larger one is refused with 413." default:"8388608"`
@@ -46,6 +47,7 @@
 		func() error { return checkWord("--region", n.Region) },
 		n.checkPeers,
 		n.checkLog,
+		func() error { return checkPositive("--checkpoint", n.Checkpoint) },
 		func() error { return checkPositive("--timeout", n.Timeout) },
 		func() error { return checkBytes("--max-body", n.MaxBody, 1) },
 		func() error { return checkBytes("--max-answer", n.MaxAnswer, 1) },
