Prove the request path under lost answers, silent connections, cuts and shutdown

Cause: the paths for failures had no test. Ruled out: net/http sending a request again. Before: unproved.

--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,93 @@
+package dispatcher_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+)
+
+// local is one backend server of the VM.
+type local struct {
+	backend fleet.Backend
+	ran     int
+}
+
+func (l *local) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	return l.backend, id == l.backend.ID
+}
+
+func (l *local) Crashed(fleet.BackendID) {}
+
+func (l *local) ServeHTTP(http.ResponseWriter, *http.Request) { l.ran++ }
+
+func newLocal(t *testing.T) *local {
+	l := &local{}
+	server := httptest.NewServer(l)
+	t.Cleanup(server.Close)
+	l.backend = fleet.Backend{
+		ID: "backend", Service: "ledger", Slots: 4, State: fleet.BackendReady,
+		Address: strings.TrimPrefix(server.URL, "http://"),
+	}
+	return l
+}
+
+// send dispatches an attempt as an ingress would.
+func send(d *dispatcher.Dispatcher, request, attempt, ticket, idempotent string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", dispatcher.PathPrefix+"/refund", strings.NewReader("x"))
+	for name, value := range map[string]string{
+		fleet.HeaderRequest: request, fleet.HeaderBackend: "backend", fleet.HeaderAttempt: attempt,
+		fleet.HeaderTicket: ticket, fleet.HeaderTimeout: "5000", fleet.HeaderWeight: "1",
+		fleet.HeaderIdempotent: idempotent, fleet.HeaderIdentity: "identity",
+	} {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, r)
+	return w
+}
+
+func outcome(w *httptest.ResponseRecorder) string {
+	return w.Header().Get(fleet.HeaderExecuted) + " " + w.Header().Get(fleet.HeaderReason)
+}
+
+func TestLateAttemptFindsItsSeal(t *testing.T) {
+	is := is.New(t)
+	l := newLocal(t)
+	d := dispatcher.New("node", l)
+	ticket := send(d, "r", "1", "", "false").Header().Get(fleet.HeaderTicket)
+	sealed, err := d.Seal(context.Background(), connect.NewRequest(&cowsliptallyv1.SealRequest{Request: "r", Attempt: 1, Ticket: ticket}))
+	is.NoErr(err)
+	is.True(sealed.Msg.GetSealed())
+	is.Equal(outcome(send(d, "r", "1", ticket, "false")), "no sealed")
+	is.Equal(l.ran, 0)
+	is.Equal(outcome(send(d, "r", "2", ticket, "false")), "yes ")
+	is.Equal(outcome(send(d, "r", "3", ticket, "false")), "unknown duplicate")
+	is.Equal(l.ran, 1)
+	sealed, err = d.Seal(context.Background(), connect.NewRequest(&cowsliptallyv1.SealRequest{Request: "r", Attempt: 2, Ticket: ticket}))
+	is.NoErr(err)
+	is.True(!sealed.Msg.GetSealed())
+}
+
+func TestRefusesBeforeDispatch(t *testing.T) {
+	is := is.New(t)
+	l := newLocal(t)
+	d := dispatcher.New("node", l)
+	first := send(d, "r", "1", "", "true")
+	is.Equal(outcome(first), "no ticket")
+	ticket := first.Header().Get(fleet.HeaderTicket)
+	is.Equal(outcome(send(d, "r", "x", ticket, "true")), "no badrequest")
+	l.backend.State = fleet.BackendDraining
+	is.Equal(outcome(send(d, "r", "1", ticket, "true")), "no draining")
+	l.backend.State = fleet.BackendGone
+	is.Equal(outcome(send(d, "r", "1", ticket, "true")), "no gone")
+	is.Equal(l.ran, 0)
+}
--- /dev/null
+++ b/forwarder/failure_test.go
@@ -0,0 +1,272 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/pooler"
+)
+
+// ledger counts what backend servers ran, by request identifier.
+type ledger struct {
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func newLedger() *ledger { return &ledger{ran: make(map[string]int)} }
+
+func (l *ledger) note(r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[r.Header.Get(fleet.HeaderRequest)]++
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ran[id]
+}
+
+func (l *ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.note(r)
+	echo(w, r)
+}
+
+// breaking notes the request and breaks its connection without an answer.
+func (l *ledger) breaking(_ http.ResponseWriter, r *http.Request) {
+	l.note(r)
+	panic(http.ErrAbortHandler)
+}
+
+// through puts a relay between the ingress and an owner.
+func (r *rig) through(o *owner) *relay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	member := r.members[o.backend.Owner]
+	relay := newRelay(r.t, member.PeerAddress)
+	member.PeerAddress = relay.listener.Addr().String()
+	r.members[o.backend.Owner] = member
+	return relay
+}
+
+func impatient() forwarder.Option {
+	return forwarder.WithPooler(pooler.New(pooler.WithProgress(200 * time.Millisecond)))
+}
+
+func TestLostAnswerIsUnknownAndNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t)
+	r.addOwner("a", http.HandlerFunc(l.breaking))
+	r.addOwner("b", l)
+	response, _ := ask(t, r, "POST", "/refund", "x", fleet.HeaderRequest, "refund")
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "broken")
+	is.Equal(l.count("refund"), 1)
+
+	response, _ = ask(t, r, "GET", "/", "", fleet.HeaderRequest, "read")
+	is.Equal(response.StatusCode, 200)
+	is.Equal(l.count("read"), 2)
+}
+
+// TestHTTPClientNeverSendsAgain uses connections that were used before: net/http sends
+// such requests again by itself unless it is kept from it.
+func TestHTTPClientNeverSendsAgain(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	var breaks atomic.Bool
+	r := newRig(t)
+	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if breaks.Load() {
+			l.breaking(w, q)
+		}
+		l.ServeHTTP(w, q)
+	}))
+	ask(t, r, "POST", "/refund", "")
+	breaks.Store(true)
+	for _, method := range []string{"GET", "POST"} {
+		response, _ := ask(t, r, method, "/refund", "", fleet.HeaderRequest, method,
+			fleet.HeaderIdempotent, "false", fleet.HeaderKey, keyOf(t, r))
+		is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+		is.Equal(l.count(method), 1)
+	}
+}
+
+func keyOf(t testing.TB, r *rig) string {
+	_, content := ask(t, r, "POST", forwarder.KeyPath, "")
+	key, found := strings.CutPrefix(strings.TrimSpace(content), `{"key":"`)
+	if !found {
+		t.Fatalf("no key in %q", content)
+	}
+	return strings.TrimSuffix(key, `"}`)
+}
+
+func TestKeyRunsOnceAndIsGivenBackWhenNotRun(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t)
+	key := keyOf(t, r)
+	response, _ := ask(t, r, "POST", "/refund", "", fleet.HeaderKey, key)
+	is.Equal(response.Header.Get(fleet.HeaderReason), "nobackend")
+	r.addOwner("a", l)
+	response, _ = ask(t, r, "POST", "/refund", "", fleet.HeaderKey, key, fleet.HeaderRequest, "first")
+	is.Equal(response.StatusCode, 200)
+	response, _ = ask(t, r, "POST", "/refund", "", fleet.HeaderKey, key, fleet.HeaderRequest, "second")
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "duplicate")
+	is.Equal(l.count("first")+l.count("second"), 1)
+}
+
+// TestSilentConnectionCostsOneProgressTimeout silences the pooled connections for
+// good: the refund is sealed, sent anew over a fresh one and nobody is blamed.
+func TestSilentConnectionCostsOneProgressTimeout(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t, impatient())
+	together := make(chan struct{})
+	var warm atomic.Int32
+	relay := r.through(r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if warm.Add(1) == 4 {
+			close(together)
+		}
+		<-together
+		l.ServeHTTP(w, q)
+	})))
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() { ask(t, r, "POST", "/refund", "") })
+	}
+	group.Wait()
+	relay.silence()
+	response, _ := ask(t, r, "POST", "/refund", "", fleet.HeaderRequest, "refund")
+	is.Equal(response.StatusCode, 200)
+	response, _ = ask(t, r, "POST", "/refund", "", fleet.HeaderRequest, "next")
+	is.Equal(response.StatusCode, 200)
+	relay.mend()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(l.count("refund"), 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, sample := range r.samples {
+		is.Equal(sample.Class, fleet.ClassOK)
+	}
+	silent := 0
+	for _, event := range r.events {
+		if event.Kind == fleet.EventSilent {
+			silent++
+		}
+	}
+	is.Equal(silent, 1)
+}
+
+// TestSlowRequestIsNotSilent runs longer than several progress timeouts.
+func TestSlowRequestIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, impatient())
+	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(time.Second)
+		echo(w, q)
+	}), dispatcher.WithHeartbeat(50*time.Millisecond))
+	response, _ := ask(t, r, "POST", "/refund", "")
+	is.Equal(response.StatusCode, 200)
+}
+
+func TestDeadlineIsToldWithinTheSlack(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	r := newRig(t)
+	r.addOwner("a", http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		select {
+		case <-release:
+		case <-q.Context().Done():
+		}
+	}))
+	response, _ := ask(t, r, "POST", "/refund", "", fleet.HeaderTimeout, "150")
+	close(release)
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "deadline")
+}
+
+// TestCutAnswerBreaksTheConnection streams an answer of untold length that its
+// backend server cuts after the head went to the caller.
+func TestCutAnswerBreaksTheConnection(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithAnswerBound(1000))
+	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 50_000))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}), dispatcher.WithAnswerBound(1000))
+	response, err := http.Get(r.caller.URL + "/")
+	is.NoErr(err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+}
+
+func TestCutSmallAnswerIsAClearError(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write(make([]byte, 50))
+		panic(http.ErrAbortHandler)
+	}))
+	response, _ := ask(t, r, "POST", "/refund", "")
+	is.Equal(response.StatusCode, 502)
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+}
+
+func TestLargeBodiesAreRefusedWithTheBound(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t, forwarder.WithBodyBound(1000))
+	r.addOwner("a", l)
+	response, content := ask(t, r, "POST", "/refund", strings.Repeat("x", 1001))
+	is.Equal(response.StatusCode, 413)
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "no")
+	is.True(strings.Contains(content, "bound of 1000 bytes"))
+	response, _ = ask(t, r, "POST", "/refund", strings.Repeat("x", 1000))
+	is.Equal(response.StatusCode, 200)
+}
+
+// TestShutdownCutsNothing shuts the owner and the ingress down while a request runs.
+func TestShutdownCutsNothing(t *testing.T) {
+	is := is.New(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t)
+	o := r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		close(running)
+		<-release
+		echo(w, q)
+	}))
+	answered := make(chan int)
+	go func() {
+		response, _ := ask(t, r, "POST", "/refund", "")
+		answered <- response.StatusCode
+	}()
+	<-running
+	o.dispatcher.Drain()
+	response, _ := ask(t, r, "POST", "/refund", "")
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "no")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "draining")
+	r.forwarder.Drain()
+	response, _ = ask(t, r, "POST", "/refund", "")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "draining")
+	is.Equal(r.forwarder.InFlight(), 1)
+	close(release)
+	is.Equal(<-answered, 200)
+	is.NoErr(o.dispatcher.Shutdown(context.Background()))
+	is.NoErr(r.forwarder.Shutdown(context.Background()))
+}
