--- a/command/root.go
+++ b/command/root.go
@@ -18,7 +18,7 @@
 
 // root holds every subcommand.
 type root struct {
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `env:"-" help:"Print the version and exit."`
 	Address string           `help:"Peer address of any node, for all commands but node." default:"127.0.0.1:7101" placeholder:"IP:PORT"`
 	Wait    time.Duration    `help:"Longest wait for the node's answer." default:"10s"`
 
@@ -36,6 +36,7 @@
 	Service   Service   `cmd:"" help:"Change and list services."`
 	Route     Route     `cmd:"" help:"Change and list routes."`
 	Limit     Limit     `cmd:"" help:"Change and list limits of organisations."`
+	Manual    Manual    `cmd:"" hidden:"" help:"Print the manual page."`
 	Override  Override  `cmd:"" help:"Keep a backend server in or out."`
 }
 
