--- a/disseminator/disseminator.go
+++ b/disseminator/disseminator.go
@@ -21,9 +21,8 @@
 	ID    string
 }
 
-// extraCopies is how often a change is sent beyond the binary logarithm of the
-// fleet's size.
-const extraCopies = 2
+// Skip is the size of an entry that the receiver of a message knows.
+const Skip = -1
 
 // Disseminator queues changed entries, least-sent first. It is safe for concurrent use.
 type Disseminator struct {
@@ -32,6 +31,8 @@
 	// count in sent differs from its level is stale and skipped.
 	levels [][]Key
 	sent   map[Key]int
+	// fresh holds the keys that were not pushed yet, oldest first.
+	fresh []Key
 }
 
 // New returns an empty disseminator.
@@ -46,7 +47,8 @@
 	if count, queued := d.sent[key]; queued && count == 0 {
 		return
 	}
-	d.push(key, 0)
+	d.place(key, 0)
+	d.fresh = append(d.fresh, key)
 }
 
 // Len returns the number of entries that wait.
@@ -56,45 +58,78 @@
 	return len(d.sent)
 }
 
-// Limit returns how often an entry is sent in a fleet of so many nodes.
+// Limit returns how often an entry is sent beside its push in a fleet of so many nodes.
 func Limit(nodes int) int {
-	return bits.Len(uint(nodes)) + extraCopies
+	return bits.Len(uint(nodes))
 }
 
-// Take returns entries for a message that is sent to copies nodes, least-sent first,
-// whose sizes sum up to at most budget bytes, and counts them as sent. size returns
-// an entry's bytes, or 0 when it no longer exists. nodes is the fleet's size.
-func (d *Disseminator) Take(budget, copies, nodes int, size func(Key) int) []Key {
+// Push returns entries that were not pushed yet, oldest first, whose sizes sum up to
+// at most budget bytes. size returns an entry's bytes, or 0 when it no longer exists.
+func (d *Disseminator) Push(budget int, size func(Key) int) []Key {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var taken []Key
-	for level := 0; level < len(d.levels); level++ {
-		keys := d.levels[level]
-		used := 0
-		for _, key := range keys {
-			if count, queued := d.sent[key]; !queued || count != level {
-				used++
-				continue
-			}
-			bytes := size(key)
-			if bytes > budget {
-				break
-			}
-			used++
-			if bytes == 0 {
-				delete(d.sent, key)
-				continue
-			}
+	used := 0
+	for _, key := range d.fresh {
+		bytes := size(key)
+		if bytes > budget {
+			break
+		}
+		used++
+		if bytes > 0 {
 			budget -= bytes
 			taken = append(taken, key)
-			d.sent[key] = -copies - level
 		}
-		d.levels[level] = keys[used:]
+	}
+	d.fresh = d.fresh[used:]
+	return taken
+}
+
+// Take returns entries for one message, least-sent first, whose sizes sum up to at
+// most budget bytes, and counts them as sent. size is as for Push, or returns Skip; nodes is
+// the fleet's size.
+func (d *Disseminator) Take(budget, nodes int, size func(Key) int) []Key {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var taken []Key
+	for level := range d.levels {
+		before := len(taken)
+		taken = d.takeLevel(level, budget, taken, size)
+		for _, key := range taken[before:] {
+			budget -= size(key)
+		}
 	}
 	d.requeue(taken, Limit(nodes))
 	return taken
 }
 
+// takeLevel appends the keys of one level that fit to taken, and marks them.
+func (d *Disseminator) takeLevel(level, budget int, taken []Key, size func(Key) int) []Key {
+	keys := d.levels[level]
+	kept := keys[:0]
+	for i, key := range keys {
+		if count, queued := d.sent[key]; !queued || count != level {
+			continue
+		}
+		bytes := size(key)
+		switch {
+		case bytes > budget:
+			d.levels[level] = append(kept, keys[i:]...)
+			return taken
+		case bytes == Skip:
+			kept = append(kept, key)
+		case bytes == 0:
+			delete(d.sent, key)
+		default:
+			budget -= bytes
+			taken = append(taken, key)
+			d.sent[key] = -1 - level
+		}
+	}
+	d.levels[level] = kept
+	return taken
+}
+
 // requeue moves taken entries one level up, and drops those sent often enough.
 func (d *Disseminator) requeue(taken []Key, limit int) {
 	for _, key := range taken {
@@ -103,11 +138,11 @@
 			delete(d.sent, key)
 			continue
 		}
-		d.push(key, count)
+		d.place(key, count)
 	}
 }
 
-func (d *Disseminator) push(key Key, count int) {
+func (d *Disseminator) place(key Key, count int) {
 	d.sent[key] = count
 	for len(d.levels) <= count {
 		d.levels = append(d.levels, nil)
--- a/prober/counters.go
+++ b/prober/counters.go
@@ -4,18 +4,18 @@
 
 // counters counts what the prober does and refuses.
 type counters struct {
-	probes        metrics.Counter
-	failures      metrics.Counter
-	indirect      metrics.Counter
-	suspicions    metrics.Counter
-	deaths        metrics.Counter
-	refutations   metrics.Counter
-	withheld      metrics.Counter
-	pauses        metrics.Counter
-	comparisons   metrics.Counter
-	gossipBytes   metrics.Counter
-	invalid       metrics.Counter
-	urgentBatches metrics.Counter
+	probes      metrics.Counter
+	failures    metrics.Counter
+	indirect    metrics.Counter
+	suspicions  metrics.Counter
+	deaths      metrics.Counter
+	refutations metrics.Counter
+	withheld    metrics.Counter
+	pauses      metrics.Counter
+	comparisons metrics.Counter
+	gossipBytes metrics.Counter
+	invalid     metrics.Counter
+	pushes      metrics.Counter
 }
 
 func newCounters(registry metrics.Registry) counters {
@@ -23,17 +23,17 @@
 		return metrics.GetOrRegisterCounter("member."+name, registry)
 	}
 	return counters{
-		probes:        counter("probes"),
-		failures:      counter("probe.failures"),
-		indirect:      counter("probe.indirect"),
-		suspicions:    counter("suspicions"),
-		deaths:        counter("deaths"),
-		refutations:   counter("refutations"),
-		withheld:      counter("accusations.withheld"),
-		pauses:        counter("pauses"),
-		comparisons:   counter("comparisons"),
-		gossipBytes:   counter("gossip.bytes"),
-		invalid:       counter("gossip.invalid"),
-		urgentBatches: counter("urgent.batches"),
+		probes:      counter("probes"),
+		failures:    counter("probe.failures"),
+		indirect:    counter("probe.indirect"),
+		suspicions:  counter("suspicions"),
+		deaths:      counter("deaths"),
+		refutations: counter("refutations"),
+		withheld:    counter("accusations.withheld"),
+		pauses:      counter("pauses"),
+		comparisons: counter("comparisons"),
+		gossipBytes: counter("gossip.bytes"),
+		invalid:     counter("gossip.invalid"),
+		pushes:      counter("pushes"),
 	}
 }
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -6,6 +6,7 @@
 	"cowsliptally.example/cowsliptally/disseminator"
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/roster"
 	"cowsliptally.example/cowsliptally/translator"
 )
 
@@ -18,26 +19,74 @@
 	fieldBytes = 3
 )
 
-// gossip returns what a message to a number of nodes carries: the newest changes,
-// those that stop work first, within a number of bytes a copy and within the bytes
-// a second that this node may send.
-func (p *Prober) gossip(bytes, copies int) *cowsliptallyv1.Gossip {
+// gossip returns what a probe or its answer carries: the newest changes, those
+// that stop work first, but for what the receiver just told.
+func (p *Prober) gossip(told *cowsliptallyv1.Gossip) *cowsliptallyv1.Gossip {
+	nodes, known := p.nodes(), p.known(told)
+	take := func(queue *disseminator.Disseminator, budget int, size sizer) []disseminator.Key {
+		return queue.Take(budget, nodes, func(key disseminator.Key) int {
+			if known[key] {
+				return disseminator.Skip
+			}
+			return size(key)
+		})
+	}
+	return p.collect(piggybackBytes, 1, take)
+}
+
+// known returns the entries in gossip of which this node has no newer version.
+func (p *Prober) known(gossip *cowsliptallyv1.Gossip) map[disseminator.Key]bool {
+	keys := make(map[disseminator.Key]bool, entryCount(gossip))
+	for _, message := range gossip.GetMembers() {
+		m, _ := p.roster.Member(fleet.NodeID(message.GetId()))
+		if !roster.NewerMember(m, translator.MemberFromMessage(message)) {
+			keys[disseminator.Key{Class: disseminator.ClassMember, ID: message.GetId()}] = true
+		}
+	}
+	for _, message := range gossip.GetBackends() {
+		b, _ := p.roster.Backend(fleet.BackendID(message.GetId()))
+		if !roster.NewerBackend(b, translator.BackendFromMessage(message)) {
+			keys[disseminator.Key{Class: disseminator.ClassBackend, ID: message.GetId()}] = true
+		}
+	}
+	return keys
+}
+
+// freshGossip returns what a push to a number of nodes carries.
+func (p *Prober) freshGossip(copies int) *cowsliptallyv1.Gossip {
+	take := func(queue *disseminator.Disseminator, budget int, size sizer) []disseminator.Key {
+		return queue.Push(budget, size)
+	}
+	return p.collect(pushBytes, copies, take)
+}
+
+// sizer returns the bytes of an entry, or 0 when it no longer exists.
+type sizer func(disseminator.Key) int
+
+// collect fills a message that is sent to a number of nodes, within a number of
+// bytes a copy and within the bytes a second that this node may send.
+func (p *Prober) collect(
+	bytes, copies int, take func(*disseminator.Disseminator, int, sizer) []disseminator.Key,
+) *cowsliptallyv1.Gossip {
 	now := p.clock.Now()
 	bytes = min(bytes, int(p.budget.TokensAt(now))/copies)
 	messages := make(map[disseminator.Key]proto.Message)
 	size := func(key disseminator.Key) int {
-		message := p.message(key)
+		message, found := messages[key]
+		if !found {
+			message = p.message(key)
+			messages[key] = message
+		}
 		if message == nil {
 			return 0
 		}
-		messages[key] = message
 		return proto.Size(message) + fieldBytes
 	}
 	gossip := &cowsliptallyv1.Gossip{}
 	total := 0
 	for _, queue := range []*disseminator.Disseminator{p.stops, p.changes} {
-		for _, key := range queue.Take(bytes-total, copies, p.nodes(), size) {
-			total += proto.Size(messages[key]) + fieldBytes
+		for _, key := range take(queue, bytes-total, size) {
+			total += size(key)
 			appendTo(gossip, messages[key])
 		}
 	}
--- a/prober/handler.go
+++ b/prober/handler.go
@@ -21,7 +21,7 @@
 ) (*connect.Response[cowsliptallyv1.ProbeResponse], error) {
 	from := request.Msg.GetFrom()
 	p.hear(from, request.Msg.GetGossip())
-	gossip := p.gossip(piggybackBytes, 1)
+	gossip := p.gossip(request.Msg.GetGossip())
 	p.warn(gossip, fleet.NodeID(from.GetId()), from.GetIncarnation())
 	return connect.NewResponse(&cowsliptallyv1.ProbeResponse{
 		From:   translator.MemberToMessage(p.Self()),
--- a/prober/network_test.go
+++ b/prober/network_test.go
@@ -19,7 +19,7 @@
 	"cowsliptally.example/cowsliptally/roster"
 )
 
-const latency = 2 * time.Millisecond
+const defaultLatency = 2 * time.Millisecond
 
 var errLost = errors.New("lost")
 
@@ -29,6 +29,8 @@
 	nodes map[string]*node
 	cut   map[[2]string]bool
 	calls int
+	// latency is the time of one way.
+	latency time.Duration
 	// watch is told of each entry that a node's journal records.
 	watch func(at *node, event fleet.Event)
 }
@@ -48,7 +50,7 @@
 }
 
 func newNetwork() *network {
-	return &network{nodes: make(map[string]*node), cut: make(map[[2]string]bool)}
+	return &network{nodes: make(map[string]*node), cut: make(map[[2]string]bool), latency: defaultLatency}
 }
 
 // start starts a node at an address; the name is its identifier.
@@ -98,6 +100,12 @@
 	time.Sleep(2 * time.Minute) // lets the timers of stopped nodes run out
 }
 
+func (w *network) setWatch(watch func(at *node, event fleet.Event)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watch = watch
+}
+
 // kill stops a node without a word.
 func (w *network) kill(n *node) {
 	w.mu.Lock()
@@ -129,8 +137,11 @@
 
 // Record implements prober.Journal.
 func (n *node) Record(event fleet.Event) {
-	if n.network.watch != nil {
-		n.network.watch(n, event)
+	n.network.mu.Lock()
+	watch := n.network.watch
+	n.network.mu.Unlock()
+	if watch != nil {
+		watch(n, event)
 	}
 }
 
@@ -189,7 +200,7 @@
 ) (*A, error) {
 	defer l.from.run()
 	w, from := l.from.network, l.from.self.PeerAddress
-	time.Sleep(latency)
+	time.Sleep(w.latency)
 	to := w.at(address)
 	if to == nil {
 		return nil, errLost
@@ -199,7 +210,7 @@
 		go func() {
 			to.run()
 			answer, err := handle(to)(ctx, connect.NewRequest(request))
-			time.Sleep(latency)
+			time.Sleep(w.latency)
 			if err == nil && w.open(address, from) {
 				answers <- answer.Msg
 			}
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -46,16 +46,13 @@
 	}
 }
 
-// notePause extends all suspicions when this node's own timers fire late.
+// notePause makes this node slower to judge when its own timers fire late.
 func (p *Prober) notePause(pause time.Duration) {
 	if pause < slack {
 		return
 	}
 	p.counters.pauses.Inc(1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.suspicions.extend(pause + p.interval)
-	p.awareness = p.awareness.worse()
+	p.adjust(awareness.worse)
 }
 
 // judge probes a node and suspects it when neither this node nor a helper reaches it.
@@ -121,7 +118,7 @@
 	started := p.clock.Now()
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	gossip := p.gossip(piggybackBytes, 1)
+	gossip := p.gossip(nil)
 	p.warn(gossip, target.ID, target.Incarnation)
 	p.counters.probes.Inc(1)
 	response, err := p.transport.Probe(limited, target.PeerAddress, &cowsliptallyv1.ProbeRequest{
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +72,145 @@
 		}
 	})
 }
+
+// accusations collects who was called suspect or dead.
+func accusations(w *network) func() map[string]bool {
+	var mu sync.Mutex
+	accused := make(map[string]bool)
+	w.setWatch(func(_ *node, event fleet.Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(event.Reason, "suspect") || strings.HasPrefix(event.Reason, "dead") {
+			accused[event.Subject] = true
+		}
+	})
+	return func() map[string]bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return maps.Clone(accused)
+	}
+}
+
+func TestOneWayCutOfALinkAccusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(8)
+		time.Sleep(5 * time.Second)
+		accused := accusations(w)
+		w.setCut(nodes[1], nodes[2], true)
+		time.Sleep(2 * time.Minute)
+		is.Equal(accused(), map[string]bool{})
+	})
+}
+
+func TestNodeThatHearsNothingAccusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(8)
+		time.Sleep(5 * time.Second)
+		accused := accusations(w)
+		for _, n := range nodes[1:] {
+			w.setCut(n, nodes[0], true)
+		}
+		time.Sleep(2 * time.Minute)
+		is.Equal(accused(), map[string]bool{"n0": true})
+		for _, n := range nodes[1:] {
+			w.setCut(n, nodes[0], false)
+		}
+		time.Sleep(2 * time.Minute)
+		for _, n := range nodes {
+			is.True(n.sees(nodes[0], fleet.MemberAlive))
+		}
+	})
+}
+
+func TestPausedNodeAccusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		w.latency = 150 * time.Millisecond // so that pauses meet probes under way
+		defer w.stopAll()
+		nodes := w.fleetOf(2) // no helper to hide a hasty judgement
+		time.Sleep(5 * time.Second)
+		accused := accusations(w)
+		for range 40 {
+			time.Sleep(501 * time.Millisecond) // pauses begin at all points of a probe
+			nodes[0].freeze()
+			nodes[1].freeze()
+			time.Sleep(3 * time.Second)
+			nodes[0].thaw()
+			nodes[1].thaw()
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(accused(), map[string]bool{})
+	})
+}
+
+func TestAccuserPausedPastItsDeadlineConvictsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(2)
+		time.Sleep(5 * time.Second)
+		accused := accusations(w)
+		nodes[1].freeze()
+		for len(accused()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		nodes[0].freeze()
+		nodes[1].thaw()
+		time.Sleep(10 * time.Second)
+		nodes[0].thaw()
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(!nodes[0].sees(nodes[1], fleet.MemberDead))
+		}
+		is.True(nodes[0].sees(nodes[1], fleet.MemberAlive))
+	})
+}
+
+func TestDeadSeedsDoNotStopANode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		late := w.start("late", address(9), "10.9.9.9:1", address(0))
+		time.Sleep(30 * time.Second)
+		nodes := w.fleetOf(3)
+		time.Sleep(15 * time.Second)
+		is.True(late.sees(nodes[2], fleet.MemberAlive))
+		is.True(nodes[2].sees(late, fleet.MemberAlive))
+	})
+}
+
+func TestEveryNodeReplacedOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(8)
+		time.Sleep(5 * time.Second)
+		for i, old := range nodes {
+			w.kill(old)
+			nodes[i] = w.start("new"+string(old.self.ID), old.self.PeerAddress, address(0), address(1))
+			for range 15 {
+				for j, n := range nodes {
+					is.NoErr(n.announce(string(old.self.ID[:1])+address(j), "ledger", ready))
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		for _, n := range nodes {
+			is.Equal(len(n.roster.Backends("ledger")), 8)
+			for _, b := range n.roster.Backends("ledger") {
+				is.True(strings.HasPrefix(string(b.Owner), "new"))
+			}
+		}
+		equalTables(t, nodes)
+	})
+}
--- a/prober/push.go
+++ b/prober/push.go
@@ -33,32 +33,36 @@
 		if !p.sleep(ctx, max(wait, pushDelay)) {
 			return ctx.Err()
 		}
-		p.counters.urgentBatches.Inc(1)
-		p.push(ctx, pushFanout)
+		if gossip := p.freshGossip(pushFanout); entryCount(gossip) > 0 {
+			p.counters.pushes.Inc(1)
+			p.push(ctx, gossip)
+			p.hurry()
+		}
 	}
 }
 
-// push sends the newest changes to a number of nodes and returns how many took
-// them. A node that fails is replaced by another once.
-func (p *Prober) push(ctx context.Context, count int) int {
-	chosen := p.choose(2*count, func(m fleet.Member) bool { return m.State == fleet.MemberAlive })
-	first := min(count, len(chosen))
-	taken := p.pushTo(ctx, chosen[:first])
+// entryCount returns the number of entries in gossip.
+func entryCount(gossip *cowsliptallyv1.Gossip) int {
+	return len(gossip.GetMembers()) + len(gossip.GetBackends())
+}
+
+// push sends changes to a few nodes and returns how many took them. A node that
+// fails is replaced by another once.
+func (p *Prober) push(ctx context.Context, gossip *cowsliptallyv1.Gossip) int {
+	chosen := p.choose(2*pushFanout, func(m fleet.Member) bool { return m.State == fleet.MemberAlive })
+	first := min(pushFanout, len(chosen))
+	taken := p.pushTo(ctx, chosen[:first], gossip)
 	if missing := first - taken; missing > 0 {
 		spare := chosen[first:]
-		taken += p.pushTo(ctx, spare[:min(missing, len(spare))])
+		taken += p.pushTo(ctx, spare[:min(missing, len(spare))], gossip)
 	}
 	return taken
 }
 
 // pushTo sends the same changes to all targets at the same time.
-func (p *Prober) pushTo(ctx context.Context, targets []fleet.Member) int {
-	if len(targets) == 0 {
-		return 0
-	}
+func (p *Prober) pushTo(ctx context.Context, targets []fleet.Member, gossip *cowsliptallyv1.Gossip) int {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	gossip := p.gossip(pushBytes, len(targets))
 	request := &cowsliptallyv1.ProbeRequest{
 		From:   translator.MemberToMessage(p.Self()),
 		Gossip: gossip,
@@ -96,8 +100,9 @@
 	if len(p.peers()) == 0 {
 		return nil
 	}
+	gossip := p.freshGossip(pushFanout)
 	for range leaveAttempts {
-		if p.push(ctx, pushFanout) > 0 {
+		if p.push(ctx, gossip) > 0 {
 			return nil
 		}
 	}
--- a/prober/suspicion.go
+++ b/prober/suspicion.go
@@ -24,14 +24,6 @@
 	return own.scale(time.Duration(factor * float64(suspicionBase)))
 }
 
-// extend moves all deadlines by a pause of this node.
-func (s suspicions) extend(pause time.Duration) {
-	for id, entry := range s {
-		entry.deadline = entry.deadline.Add(pause)
-		s[id] = entry
-	}
-}
-
 // due returns the accused nodes whose time is over.
 func (s suspicions) due(now time.Time) []fleet.NodeID {
 	var ids []fleet.NodeID
