--- /dev/null
+++ b/disseminator/disseminator.go
@@ -0,0 +1,151 @@
+package disseminator
+
+import (
+	"math/bits"
+	"sync"
+)
+
+// Class tells members and backend servers apart.
+type Class uint8
+
+const (
+	// ClassMember is a change of a node.
+	ClassMember Class = iota + 1
+	// ClassBackend is a change of a backend server.
+	ClassBackend
+)
+
+// Key names the entry that changed. Its newest version is looked up when it is sent.
+type Key struct {
+	Class Class
+	ID    string
+}
+
+// Skip is the size of an entry that the receiver of a message knows.
+const Skip = -1
+
+// Disseminator queues changed entries, least-sent first. It is safe for concurrent use.
+type Disseminator struct {
+	mu sync.Mutex
+	// levels holds the keys by how often they were sent, oldest first. A key whose
+	// count in sent differs from its level is stale and skipped.
+	levels [][]Key
+	sent   map[Key]int
+	// fresh holds the keys that were not pushed yet, oldest first.
+	fresh []Key
+}
+
+// New returns an empty disseminator.
+func New() *Disseminator {
+	return &Disseminator{sent: make(map[Key]int)}
+}
+
+// Add queues an entry that changed, as never sent.
+func (d *Disseminator) Add(key Key) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if count, queued := d.sent[key]; queued && count == 0 {
+		return
+	}
+	d.place(key, 0)
+	d.fresh = append(d.fresh, key)
+}
+
+// Len returns the number of entries that wait.
+func (d *Disseminator) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sent)
+}
+
+// Limit returns how often an entry is sent beside its push in a fleet of so many nodes.
+func Limit(nodes int) int {
+	return bits.Len(uint(nodes))
+}
+
+// Push returns entries that were not pushed yet, oldest first, whose sizes sum up to
+// at most budget bytes. size returns an entry's bytes, or 0 when it no longer exists.
+func (d *Disseminator) Push(budget int, size func(Key) int) []Key {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var taken []Key
+	used := 0
+	for _, key := range d.fresh {
+		bytes := size(key)
+		if bytes > budget {
+			break
+		}
+		used++
+		if bytes > 0 {
+			budget -= bytes
+			taken = append(taken, key)
+		}
+	}
+	d.fresh = d.fresh[used:]
+	return taken
+}
+
+// Take returns entries for one message, least-sent first, whose sizes sum up to at
+// most budget bytes, and counts them as sent. size is as for Push, or returns Skip; nodes is
+// the fleet's size.
+func (d *Disseminator) Take(budget, nodes int, size func(Key) int) []Key {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var taken []Key
+	for level := range d.levels {
+		before := len(taken)
+		taken = d.takeLevel(level, budget, taken, size)
+		for _, key := range taken[before:] {
+			budget -= size(key)
+		}
+	}
+	d.requeue(taken, Limit(nodes))
+	return taken
+}
+
+// takeLevel appends the keys of one level that fit to taken, and marks them.
+func (d *Disseminator) takeLevel(level, budget int, taken []Key, size func(Key) int) []Key {
+	keys := d.levels[level]
+	kept := keys[:0]
+	for i, key := range keys {
+		if count, queued := d.sent[key]; !queued || count != level {
+			continue
+		}
+		bytes := size(key)
+		switch {
+		case bytes > budget:
+			d.levels[level] = append(kept, keys[i:]...)
+			return taken
+		case bytes == Skip:
+			kept = append(kept, key)
+		case bytes == 0:
+			delete(d.sent, key)
+		default:
+			budget -= bytes
+			taken = append(taken, key)
+			d.sent[key] = -1 - level
+		}
+	}
+	d.levels[level] = kept
+	return taken
+}
+
+// requeue moves taken entries one level up, and drops those sent often enough.
+func (d *Disseminator) requeue(taken []Key, limit int) {
+	for _, key := range taken {
+		count := -d.sent[key]
+		if count >= limit {
+			delete(d.sent, key)
+			continue
+		}
+		d.place(key, count)
+	}
+}
+
+func (d *Disseminator) place(key Key, count int) {
+	d.sent[key] = count
+	for len(d.levels) <= count {
+		d.levels = append(d.levels, nil)
+	}
+	d.levels[count] = append(d.levels[count], key)
+}
