Build indexes in bulk and share names when a state is restored

Cause: a fresh node restores the whole state; at 68,000 routes, 490,000 limits and 110,000 backend servers that took 3.7 s and 1.1 GB of allocations, one With call for each entry. Ruled out: mutable maps frozen later (two data structures); a larger leaf than 16 values.

--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -132,3 +132,15 @@
 func sorted[V any](entries iter.Seq[V], name func(V) string) []V {
 	return slices.SortedFunc(entries, func(a, b V) int { return strings.Compare(name(a), name(b)) })
 }
+
+// NewConfiguration returns a configuration that holds all of these; it is much
+// cheaper than one With call for each.
+func NewConfiguration(revision Revision, services []Service, routes []Route, limits []Limit, overrides []Override) Configuration {
+	return Configuration{
+		revision:  revision,
+		services:  indexer.Of(services),
+		routes:    indexer.Of(routes),
+		limits:    indexer.Of(limits),
+		overrides: indexer.Of(overrides),
+	}
+}
--- a/folder/checkpoint.go
+++ b/folder/checkpoint.go
@@ -6,6 +6,7 @@
 
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/indexer"
 	"cowsliptally.example/cowsliptally/translator"
 )
 
@@ -32,22 +33,16 @@
 	if c.GetParts() > 1 {
 		return State{}, refuse(KindIncomplete, "part %d of %d is not the whole checkpoint", c.GetPart(), c.GetParts())
 	}
+	names := make(interner)
 	s := State{
-		configuration: configuration(c.GetConfiguration()),
+		configuration: configuration(c.GetConfiguration(), names),
 		nextOffset:    c.GetNextOffset(),
 		checkpointed:  c.GetCheckpointed(),
 		verdicts:      c.GetVerdicts(),
 		history:       c.GetHistory(),
 	}
-	for _, message := range c.GetBackends() {
-		backend := translator.BackendFromMessage(message)
-		if backend.ID == "" || backend.Service == "" {
-			return State{}, refuse(KindCheckpoint, "a backend server has no identifier or no service")
-		}
-		if _, found := s.backends.Get(backend.ID); found {
-			return State{}, refuse(KindCheckpoint, "backend server %q is listed twice", backend.ID)
-		}
-		s = s.withBackend(backend)
+	if err := s.enter(c.GetBackends(), names); err != nil {
+		return State{}, err
 	}
 	for _, message := range c.GetEjected() {
 		e := ejection{offset: message.GetOffset(), record: message.GetEjection()}
@@ -59,21 +54,53 @@
 	return s, nil
 }
 
-func configuration(m *cowsliptallyv1.Configuration) fleet.Configuration {
-	c := fleet.Configuration{}.WithRevision(fleet.Revision(m.GetRevision()))
-	for _, service := range m.GetServices() {
-		c = c.WithService(translator.ServiceFromMessage(service))
+// enter puts the backend servers of a checkpoint into a state that has none.
+func (s *State) enter(messages []*cowsliptallyv1.BackendServer, names interner) error {
+	backends := make([]fleet.Backend, 0, len(messages))
+	groups := make(map[fleet.ServiceName]group)
+	for _, message := range messages {
+		backend := names.backend(translator.BackendFromMessage(message))
+		if backend.ID == "" || backend.Service == "" {
+			return refuse(KindCheckpoint, "a backend server has no identifier or no service")
+		}
+		backends = append(backends, backend)
+		g := groups[backend.Service]
+		g.service = backend.Service
+		g.members = append(g.members, backend.ID)
+		g.slots += backend.Slots
+		if s.inRotation(backend.ID) {
+			g.healthy += backend.Slots
+		}
+		groups[backend.Service] = g
 	}
-	for _, route := range m.GetRoutes() {
-		c = c.WithRoute(translator.RouteFromMessage(route))
+	s.backends = indexer.Of(backends)
+	if s.backends.Len() != len(backends) {
+		return refuse(KindCheckpoint, "a backend server is listed twice")
 	}
-	for _, limit := range m.GetLimits() {
-		c = c.WithLimit(translator.LimitFromMessage(limit))
+	for _, g := range groups {
+		slices.Sort(g.members)
+		g.members = slices.Clip(g.members)
+		s.groups = s.groups.With(g)
 	}
-	for _, override := range m.GetOverrides() {
-		c = c.WithOverride(translator.OverrideFromMessage(override))
+	return nil
+}
+
+func configuration(m *cowsliptallyv1.Configuration, names interner) fleet.Configuration {
+	services := converted(m.GetServices(), translator.ServiceFromMessage)
+	routes := converted(m.GetRoutes(), func(m *cowsliptallyv1.Route) fleet.Route {
+		return names.route(translator.RouteFromMessage(m))
+	})
+	limits := converted(m.GetLimits(), translator.LimitFromMessage)
+	overrides := converted(m.GetOverrides(), translator.OverrideFromMessage)
+	return fleet.NewConfiguration(fleet.Revision(m.GetRevision()), services, routes, limits, overrides)
+}
+
+func converted[M, V any](messages []M, convert func(M) V) []V {
+	values := make([]V, 0, len(messages))
+	for _, message := range messages {
+		values = append(values, convert(message))
 	}
-	return c
+	return values
 }
 
 func refuse(kind Kind, format string, args ...any) error {
--- a/indexer/index_test.go
+++ b/indexer/index_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -70,5 +71,9 @@
 		}
 		check(t, index, want)
 		check(t, old, oldWant)
+		values := slices.Collect(index.All())
+		built := indexer.Of(append(values, values...))
+		check(t, built, want)
+		check(t, built.With(entry{name: "more"}).Without("more"), want)
 	})
 }
--- a/indexer/node.go
+++ b/indexer/node.go
@@ -15,7 +15,7 @@
 	// maxLevel is the depth at which the hash is used up.
 	maxLevel = 64 / bitsPerLevel
 	// maxValues is the number of values from which a leaf is split.
-	maxValues = 12
+	maxValues = 16
 )
 
 // node is a leaf with values, or a branch with children; a nil node is empty.
