Stop poison after two backend servers, and clear innocents by their first whole run

Causes found by the tests: the identity held the host, so another node's name made it another request (third backend server lost); a node that had not heard of the crash refused suspects instead of letting them wait (the owner now names the crash); an innocent whose older run ended stayed poison (a whole run now clears it). Ruled out: keys as identities (a new key would make a new request); clearing by time only. Conclusion: two at most once the first answer is out; see docs/design for the limit.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -5,12 +5,17 @@
 	"strconv"
 
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/poisoner"
 	"cowsliptally.example/cowsliptally/refuser"
 )
 
 // refuse answers an attempt that got no answer from its backend server.
 func (d *Dispatcher) refuse(w http.ResponseWriter, c call, outcome fleet.Outcome, message string) {
 	d.describe(w.Header(), c)
+	if standing, crash := d.poisoner.Standing(c.identity); standing == poisoner.Suspect {
+		w.Header().Set(fleet.HeaderReporter, string(crash.Reporter))
+		w.Header().Set(fleet.HeaderCrashed, string(crash.Backend))
+	}
 	refuser.Refuse(w, refuser.Refusal{
 		Request:  c.request,
 		Executed: outcome.Executed,
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -40,6 +40,10 @@
 	HeaderTicket = "Cowsliptally-Ticket"
 	// HeaderWeight carries the worth of the request between nodes.
 	HeaderWeight = "Cowsliptally-Weight"
+	// HeaderReporter carries the node that reported the crash which made a request suspect.
+	HeaderReporter = "Cowsliptally-Reporter"
+	// HeaderCrashed carries the backend server that crashed.
+	HeaderCrashed = "Cowsliptally-Crashed"
 	// HeaderTrial carries "true" on the one permitted run of a suspect.
 	HeaderTrial = "Cowsliptally-Trial"
 	// HeaderIdentity carries the request's identity between nodes, the same for each re-sending.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -116,6 +116,7 @@
 	}
 	f.report(backend, header)
 	if executed := fleet.Executed(header.Get(fleet.HeaderExecuted)); executed != fleet.ExecutedYes {
+		f.learnSuspect(s, header)
 		return f.refusedByOwner(exchange, executed)
 	}
 	content, whole, err := f.answers.CollectPart(response.Body, response.ContentLength)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -149,16 +149,7 @@
 
 // serve finds an answer for an accepted submission and gives it to the caller.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
-	if refusal := f.admitSuspect(ctx, s); refusal != nil {
-		f.refuse(w, s, refusal)
-		return
-	}
-	if refusal := f.obtain(ctx, s); refusal != nil {
-		f.endTrial(s)
-		f.refuse(w, s, refusal)
-		return
-	}
-	found := f.try(ctx, s)
+	found := f.find(ctx, s)
 	defer found.close()
 	if found.answered() {
 		f.answer(w, s, found)
@@ -171,6 +162,25 @@
 	f.refuse(w, s, found)
 }
 
+// find gets an answer. An owner may know better that the request is suspect; then it
+// waits for its trial run like one that was known to be suspect from the start.
+func (f *Forwarder) find(ctx context.Context, s *submission) *result {
+	for {
+		if refusal := f.admitSuspect(ctx, s); refusal != nil {
+			return refusal
+		}
+		if refusal := f.obtain(ctx, s); refusal != nil {
+			f.endTrial(s)
+			return refusal
+		}
+		found := f.try(ctx, s)
+		standing, _ := f.poisoner.Standing(s.identity)
+		if found.outcome.Reason != fleet.ReasonSuspect || s.trialNode != "" || standing != poisoner.Suspect {
+			return found
+		}
+	}
+}
+
 // accept checks the organisation's limit and holds the body.
 func (f *Forwarder) accept(w http.ResponseWriter, s *submission) *result {
 	limit, limited := f.configurations.Configuration().Limit(s.organisation)
@@ -184,7 +194,7 @@
 	}
 	f.limitReading(w, time.Time{})
 	s.content = content
-	s.identity = identify(s.request, content.Bytes())
+	s.identity = identify(s.service, s.request, content.Bytes())
 	return nil
 }
 
--- a/forwarder/grant.go
+++ b/forwarder/grant.go
@@ -9,7 +9,7 @@
 // obtain gets the idempotency key of a submission that must not run twice. In
 // doubt the submission does not run.
 func (f *Forwarder) obtain(ctx context.Context, s *submission) *result {
-	if s.idempotent || s.key == "" {
+	if s.idempotent || s.key == "" || s.granted {
 		return nil
 	}
 	granted, reason, err := f.askGuard(ctx, s)
--- a/forwarder/identity.go
+++ b/forwarder/identity.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cowsliptally.example/cowsliptally/fleet"
 )
 
 // Seeds of the two halves of an identity.
@@ -15,10 +17,10 @@
 )
 
 // identify returns what is the same each time a caller sends a request: a hash of
-// its method, host, path and body. Its idempotency key is left out, so that a new
-// key does not make it another request.
-func identify(r *http.Request, content []byte) string {
-	head := strings.Join([]string{r.Method, r.Host, r.URL.RequestURI(), ""}, "\x00")
+// its service, method, path and body. Its host and idempotency key are left out, so
+// that another node's name or a new key does not make it another request.
+func identify(service fleet.ServiceName, r *http.Request, content []byte) string {
+	head := strings.Join([]string{string(service), r.Method, r.URL.RequestURI(), ""}, "\x00")
 	return fmt.Sprintf("%016x%016x", half(firstSeed, head, content), half(secondSeed, head, content))
 }
 
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -2,18 +2,23 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
 
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/spreader"
 )
 
 // rig is a small fleet in one process: an ingress and owners with backend servers.
@@ -30,13 +35,37 @@
 
 func newRig(t testing.TB, options ...forwarder.Option) *rig {
 	r := &rig{t: t, members: make(map[fleet.NodeID]fleet.Member)}
-	options = append([]forwarder.Option{forwarder.WithObserver(r), forwarder.WithRecorder(r)}, options...)
-	r.forwarder = forwarder.New("ingress", r, r, r, options...)
-	r.caller = httptest.NewServer(r.forwarder)
-	t.Cleanup(r.caller.Close)
+	r.addIngress("ingress", options...)
 	return r
 }
 
+// addIngress starts a node without backend servers and sends the next requests to it.
+func (r *rig) addIngress(name fleet.NodeID, options ...forwarder.Option) {
+	suspects := poisoner.New(clockwork.NewRealClock())
+	options = append([]forwarder.Option{
+		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithPoisoner(suspects),
+	}, options...)
+	r.forwarder = forwarder.New(name, r, r, r, options...)
+	r.caller = httptest.NewServer(r.forwarder)
+	r.t.Cleanup(r.caller.Close)
+	r.join(name, dispatcher.New(name, &owner{}, dispatcher.WithPoisoner(suspects)))
+}
+
+// join serves a node's peer address.
+func (r *rig) join(name fleet.NodeID, d *dispatcher.Dispatcher) *httptest.Server {
+	router := chi.NewRouter()
+	router.Handle(dispatcher.PathPrefix+"/*", d)
+	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(d))
+	peer := httptest.NewServer(router)
+	r.t.Cleanup(peer.Close)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members[name] = fleet.Member{
+		ID: name, PeerAddress: strings.TrimPrefix(peer.URL, "http://"), State: fleet.MemberAlive,
+	}
+	return peer
+}
+
 // addOwner starts an owner with one backend server that runs the handler.
 func (r *rig) addOwner(name string, backend http.Handler, options ...dispatcher.Option) *owner {
 	server := httptest.NewServer(backend)
@@ -45,17 +74,12 @@
 		ID: fleet.BackendID("backend-" + name), Service: "ledger", Owner: fleet.NodeID(name), Slots: 4,
 		Address: strings.TrimPrefix(server.URL, "http://"), State: fleet.BackendReady,
 	}}
+	suspects := spreader.New(fleet.NodeID(name), r, http.DefaultClient)
+	options = append([]dispatcher.Option{dispatcher.WithSuspects(suspects)}, options...)
 	o.dispatcher = dispatcher.New(fleet.NodeID(name), o, options...)
-	router := chi.NewRouter()
-	router.Handle(dispatcher.PathPrefix+"/*", o.dispatcher)
-	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(o.dispatcher))
-	o.peer = httptest.NewServer(router)
-	r.t.Cleanup(o.peer.Close)
+	o.peer = r.join(fleet.NodeID(name), o.dispatcher)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.members[fleet.NodeID(name)] = fleet.Member{
-		ID: fleet.NodeID(name), PeerAddress: strings.TrimPrefix(o.peer.URL, "http://"), State: fleet.MemberAlive,
-	}
 	r.backends = append(r.backends, o.backend)
 	return o
 }
@@ -75,6 +99,12 @@
 	return r.backends
 }
 
+func (r *rig) Members() []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.members))
+}
+
 func (r *rig) Member(id fleet.NodeID) (fleet.Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"cowsliptally.example/cowsliptally/dispatcher"
@@ -20,7 +21,7 @@
 // it is cleared or until it is permitted to be the one trial run.
 func (f *Forwarder) admitSuspect(ctx context.Context, s *submission) *result {
 	for {
-		standing, reporter := f.poisoner.Standing(s.identity)
+		standing, crash := f.poisoner.Standing(s.identity)
 		switch standing {
 		case poisoner.Clean:
 			return nil
@@ -28,8 +29,8 @@
 			return refused(fleet.ReasonPoison, "this request crashed two backend servers")
 		}
 		asked := f.clock.Now()
-		if f.askTrial(ctx, s, reporter) {
-			s.trialNode = reporter
+		if f.askTrial(ctx, s, crash.Reporter) {
+			s.trialNode = crash.Reporter
 			s.deadline = earlier(s.deadline, asked.Add(trialBound))
 			return nil
 		}
@@ -54,6 +55,14 @@
 	return err == nil && granted
 }
 
+// learnSuspect notes the crash for which an owner holds a request suspect.
+func (f *Forwarder) learnSuspect(s *submission, header http.Header) {
+	reporter, backend := header.Get(fleet.HeaderReporter), header.Get(fleet.HeaderCrashed)
+	if reporter != "" && backend != "" {
+		f.poisoner.Crash(fleet.NodeID(reporter), fleet.BackendID(backend), []string{s.identity})
+	}
+}
+
 // endTrial gives the permission back after proof that the submission did not and will not run.
 func (f *Forwarder) endTrial(s *submission) {
 	if s.trialNode == "" {
--- a/poisoner/poisoner.go
+++ b/poisoner/poisoner.go
@@ -62,29 +62,23 @@
 	return poisoned
 }
 
-// Clear forgets a suspect that ran to its end; it returns whether it was suspect.
-// Poison stays.
+// Clear forgets what speaks against an identity that ran to its end, which a request
+// that kills every backend server never does. It returns whether anything did.
 func (p *Poisoner) Clear(identity string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.find(identity)
-	if r == nil || r.standing() == Poison {
-		return false
-	}
-	p.records.Remove(identity)
-	return true
+	return p.find(identity) != nil && p.records.Remove(identity)
 }
 
-// Standing returns the standing of an identity and, for a suspect, the node to
-// ask for a trial run.
-func (p *Poisoner) Standing(identity string) (Standing, fleet.NodeID) {
+// Standing returns the standing of an identity and, unless it is clean, its first crash.
+func (p *Poisoner) Standing(identity string) (Standing, Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.find(identity)
 	if r == nil {
-		return Clean, ""
+		return Clean, Crash{}
 	}
-	return r.standing(), r.reporter
+	return r.standing(), Crash{Reporter: r.reporter, Backend: r.first}
 }
 
 // Try permits one trial run of a suspect at a time, at the node that reported its crash.
--- /dev/null
+++ b/poisoner/poisoner_test.go
@@ -0,0 +1,158 @@
+package poisoner_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/poisoner"
+)
+
+const (
+	deadly = "deadly"
+	// longest bounds a run, as ingresses do for trial runs.
+	longest = poisoner.TrialDuration - 5*time.Second
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.steps", "60")
+	_ = flag.Set("rapid.shrinktime", "1s")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// run is a request in a slot.
+type run struct {
+	identity string
+	backend  fleet.BackendID
+	start    time.Time
+}
+
+// world is a fleet whose nodes tell each other of every crash.
+type world struct {
+	clock   *clockwork.FakeClock
+	nodes   map[fleet.NodeID]*poisoner.Poisoner
+	slots   []run
+	crashes int
+	// shared counts the crashes of each innocent since it last ran to its end.
+	shared map[string]int
+}
+
+// submit sends a request through a node, which follows what its poisoner says.
+func (w *world) submit(t *rapid.T, identity string) {
+	node := rapid.SampledFrom([]fleet.NodeID{"a", "b", "c"}).Draw(t, "node")
+	standing, crash := w.nodes[node].Standing(identity)
+	switch standing {
+	case poisoner.Poison:
+		if identity != deadly && w.shared[identity] < 2 {
+			t.Fatalf("%s is poison after %d crashes", identity, w.shared[identity])
+		}
+		return
+	case poisoner.Suspect:
+		if !w.nodes[crash.Reporter].Try(crash.Reporter, identity) {
+			return
+		}
+	case poisoner.Clean:
+		if identity == deadly && slices.ContainsFunc(w.slots, func(r run) bool { return r.identity == deadly }) {
+			return // its caller sends it again only after an answer
+		}
+	}
+	backend := fleet.BackendID(fmt.Sprint(w.crashes, "-", rapid.IntRange(0, 3).Draw(t, "backend")))
+	w.slots = append(w.slots, run{identity, backend, w.clock.Now()})
+}
+
+// end lets a run end: the deadly one takes its backend server with it.
+func (w *world) end(t *rapid.T) {
+	if len(w.slots) == 0 {
+		t.Skip("nothing runs")
+	}
+	ended := rapid.SampledFrom(w.slots).Draw(t, "run")
+	if ended.identity != deadly {
+		w.slots = slices.DeleteFunc(w.slots, func(r run) bool { return r == ended })
+		w.shared[ended.identity] = 0
+		for _, p := range w.nodes {
+			p.Clear(ended.identity)
+		}
+		return
+	}
+	w.crashes++
+	var identities []string
+	w.slots = slices.DeleteFunc(w.slots, func(r run) bool {
+		if r.backend != ended.backend {
+			return false
+		}
+		if !slices.Contains(identities, r.identity) {
+			identities = append(identities, r.identity)
+			w.shared[r.identity]++
+		}
+		return true
+	})
+	reporter := rapid.SampledFrom([]fleet.NodeID{"a", "b", "c"}).Draw(t, "reporter")
+	for _, p := range w.nodes {
+		p.Crash(reporter, ended.backend, identities)
+	}
+	if w.crashes > 2 {
+		t.Fatalf("one request took out %d backend servers", w.crashes)
+	}
+}
+
+// TestAtMostTwoCrashesAndNoInnocentRefused sends one deadly request and others again
+// and again through three nodes, also at the same time once it is suspect.
+func TestAtMostTwoCrashesAndNoInnocentRefused(t *testing.T) {
+	second := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{clock: clockwork.NewFakeClock(), nodes: map[fleet.NodeID]*poisoner.Poisoner{}, shared: map[string]int{}}
+		for _, node := range []fleet.NodeID{"a", "b", "c"} {
+			w.nodes[node] = poisoner.New(w.clock)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"deadly":    func(t *rapid.T) { w.submit(t, deadly) },
+			"deadly2":   func(t *rapid.T) { w.submit(t, deadly) },
+			"innocent":  func(t *rapid.T) { w.submit(t, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "identity")) },
+			"innocent2": func(t *rapid.T) { w.submit(t, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "identity")) },
+			"end":       w.end,
+			"pass": func(t *rapid.T) {
+				w.clock.Advance(time.Duration(rapid.IntRange(1, 5).Draw(t, "s")) * time.Second)
+				w.slots = slices.DeleteFunc(w.slots, func(r run) bool { return w.clock.Since(r.start) >= longest })
+			},
+		})
+		if w.crashes == 2 {
+			second++
+		}
+	})
+	if second < 100 {
+		t.Fatalf("only %d runs came to a second crash", second)
+	}
+}
+
+func TestForgetsAfterItsTime(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := poisoner.New(clock, poisoner.WithCapacity(2))
+	p.Crash("node", "one", []string{deadly})
+	p.Crash("node", "one", []string{deadly})
+	if standing, _ := p.Standing(deadly); standing != poisoner.Suspect {
+		t.Fatal("the same crash was counted twice")
+	}
+	p.Crash("node", "two", []string{deadly})
+	if standing, _ := p.Standing(deadly); standing != poisoner.Poison {
+		t.Fatal("two crashes do not make poison")
+	}
+	clock.Advance(poisoner.DefaultDuration)
+	if standing, _ := p.Standing(deadly); standing != poisoner.Clean {
+		t.Fatal("poison does not end")
+	}
+	p.Crash("node", "three", []string{"x", "y", "z"})
+	if p.Len() != 2 {
+		t.Fatal("memory is not bounded")
+	}
+}
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -20,7 +20,7 @@
 	fleet.HeaderBackend, fleet.HeaderAttempt, fleet.HeaderExecuted, fleet.HeaderReason,
 	fleet.HeaderInFlight, fleet.HeaderQueued, fleet.HeaderSlots, fleet.HeaderServiceTime,
 	fleet.HeaderRevision, fleet.HeaderLength, fleet.HeaderTicket, fleet.HeaderWeight,
-	fleet.HeaderIdentity, fleet.HeaderTrial,
+	fleet.HeaderIdentity, fleet.HeaderTrial, fleet.HeaderReporter, fleet.HeaderCrashed,
 }
 
 // Connection removes the headers that concern one connection.
