--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -2,18 +2,27 @@
 // which wait and which are refused. It does no I/O.
 //
 // The queue is short and holds only work that can still be answered in time.
-// When it is full, the request of least worth gives way: first by weight, then
-// by how much its organisation used of late.
+// When it is full, the request of least worth gives way: by its weight for each
+// second of a slot, lowered by the share that its organisation took of late.
 package admitter
 
 import (
+	"math"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// timeShare is the share of the newest service time in the expected one.
-const timeShare = 0.1
+const (
+	// timeShare is the share of the newest service time in the expected one.
+	timeShare = 0.1
+	// minCost is the least expected service time.
+	minCost = 10 * time.Microsecond
+	// minRest keeps the order by weight among requests of an organisation that took everything.
+	minRest = 1e-3
+	// maxKinds bounds the request kinds whose service time is learnt.
+	maxKinds = 64
+)
 
 // Admitter holds the slots and the queue of one backend server. It is not safe
 // for concurrent use.
@@ -24,6 +33,7 @@
 	running     map[ID]struct{}
 	waiting     []Request
 	expected    map[fleet.RequestKind]time.Duration
+	mean        time.Duration
 	closed      bool
 }
 
@@ -137,7 +147,7 @@
 
 func (a *Admitter) run(r Request, now time.Time) Decision {
 	a.running[r.ID] = struct{}{}
-	a.usage.Add(r.Organisation, now)
+	a.usage.Add(r.Organisation, a.cost(r.Kind).Seconds(), now)
 	return Decision{ID: r.ID, Action: Run}
 }
 
@@ -145,12 +155,7 @@
 func (a *Admitter) fill(now time.Time) []Decision {
 	decisions := a.expire(now)
 	for len(a.running) < a.slots && len(a.waiting) > 0 {
-		best := 0
-		for i := 1; i < len(a.waiting); i++ {
-			if a.before(a.waiting[i], a.waiting[best], now) {
-				best = i
-			}
-		}
+		best, _ := a.rank(now)
 		r := a.waiting[best]
 		a.waiting = append(a.waiting[:best], a.waiting[best+1:]...)
 		decisions = append(decisions, a.run(r, now))
@@ -162,12 +167,7 @@
 func (a *Admitter) shed(now time.Time) []Decision {
 	var decisions []Decision
 	for len(a.waiting) > a.queueLength {
-		worst := 0
-		for i := 1; i < len(a.waiting); i++ {
-			if !a.before(a.waiting[i], a.waiting[worst], now) {
-				worst = i
-			}
-		}
+		_, worst := a.rank(now)
 		reason := fleet.ReasonBusy
 		if worst < len(a.waiting)-1 {
 			reason = fleet.ReasonShed
@@ -178,6 +178,22 @@
 	return decisions
 }
 
+// rank returns the first request by worth and the last. Of equals, the first that
+// came is the best and the last that came the worst.
+func (a *Admitter) rank(now time.Time) (best, worst int) {
+	most, least := math.Inf(-1), math.Inf(1)
+	for i, r := range a.waiting {
+		worth := a.worth(r, now)
+		if worth > most {
+			best, most = i, worth
+		}
+		if worth <= least {
+			worst, least = i, worth
+		}
+	}
+	return best, worst
+}
+
 // expire refuses waiting requests whose deadline leaves no time to run them.
 func (a *Admitter) expire(now time.Time) []Decision {
 	var decisions []Decision
@@ -193,21 +209,36 @@
 	return decisions
 }
 
-// before reports whether r is served before s. Equal requests keep their order of arrival.
-func (a *Admitter) before(r, s Request, now time.Time) bool {
-	if r.Weight != s.Weight {
-		return r.Weight > s.Weight
+// worth is the value of a slot's time when it is given to a request. What an
+// organisation took of late makes its further requests worth less.
+func (a *Admitter) worth(r Request, now time.Time) float64 {
+	rest := 1 - a.usage.Share(r.Organisation, now)
+	return float64(max(1, r.Weight)) / a.cost(r.Kind).Seconds() * (minRest + rest*rest)
+}
+
+// cost is the expected service time of a kind, or of all kinds when it is new.
+func (a *Admitter) cost(kind fleet.RequestKind) time.Duration {
+	if usual, found := a.expected[kind]; found {
+		return max(usual, minCost)
 	}
-	return a.usage.Of(r.Organisation, now) < a.usage.Of(s.Organisation, now)
+	return max(a.mean, minCost)
 }
 
 func (a *Admitter) learn(kind fleet.RequestKind, took time.Duration) {
+	a.mean = blend(a.mean, took)
 	usual, found := a.expected[kind]
-	if !found {
-		a.expected[kind] = took
+	if !found && len(a.expected) >= maxKinds {
 		return
 	}
-	a.expected[kind] = usual + time.Duration(timeShare*float64(took-usual))
+	a.expected[kind] = blend(usual, took)
+}
+
+// blend moves a usual time towards the newest one; 0 stands for none yet.
+func blend(usual, took time.Duration) time.Duration {
+	if usual == 0 {
+		return took
+	}
+	return usual + time.Duration(timeShare*float64(took-usual))
 }
 
 func refusal(id ID, reason fleet.Reason) Decision {
--- a/admitter/usage.go
+++ b/admitter/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,7 +27,11 @@
 // Usage estimates how much each organisation used of late, in a fixed array of
 // hashed buckets. An organisation's use is the least of its buckets, so two
 // organisations are taken for each other only when they share all rows.
+//
+// It is safe for concurrent use.
 type Usage struct {
+	mu      sync.Mutex
+	total   bucket
 	buckets [usageRows][usageColumns]bucket
 }
 
@@ -35,22 +40,34 @@
 	return &Usage{}
 }
 
-// Add counts one use by an organisation.
-func (u *Usage) Add(organisation fleet.Organisation, now time.Time) {
+// Add counts a use by an organisation, in seconds of a slot.
+func (u *Usage) Add(organisation fleet.Organisation, seconds float64, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.total.add(seconds, now)
 	for row, column := range columns(organisation) {
-		b := &u.buckets[row][column]
-		b.amount = b.at(now) + 1
-		b.updated = now
+		u.buckets[row][column].add(seconds, now)
 	}
 }
 
-// Of returns the recent use by an organisation.
-func (u *Usage) Of(organisation fleet.Organisation, now time.Time) float64 {
+// Share returns the part of all recent use that an organisation had, from 0 to 1.
+func (u *Usage) Share(organisation fleet.Organisation, now time.Time) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	total := u.total.at(now)
+	if total == 0 {
+		return 0
+	}
 	least := math.Inf(1)
 	for row, column := range columns(organisation) {
 		least = min(least, u.buckets[row][column].at(now))
 	}
-	return least
+	return min(1, least/total)
+}
+
+func (b *bucket) add(amount float64, now time.Time) {
+	b.amount = b.at(now) + amount
+	b.updated = now
 }
 
 func (b *bucket) at(now time.Time) float64 {
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -71,7 +72,7 @@
 		default:
 		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				_ = to.(*net.TCPConn).CloseWrite()
 			}
 			return
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -14,13 +14,15 @@
 	// Reused tells that the request went over a connection that was used before.
 	Reused bool
 
-	cancel context.CancelCauseFunc
+	cancel    context.CancelCauseFunc
+	closeBody func() error
 }
 
 // Close ends the exchange; the body cannot be read afterwards.
 func (e *Exchange) Close() {
-	if e.Response != nil {
-		e.Response.Body.Close()
+	if e.closeBody != nil {
+		// Nothing is written to the body, so that nothing is lost by an error here.
+		_ = e.closeBody()
 	}
 	if e.cancel != nil {
 		e.cancel(context.Canceled)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -115,9 +115,10 @@
 	if fresh {
 		p.Renew(address)
 	}
-	var err error
-	exchange.Response, err = p.pool(address).RoundTrip(request)
+	response, err := p.pool(address).RoundTrip(request)
 	if err == nil {
+		exchange.Response = response
+		exchange.closeBody = response.Body.Close
 		exchange.Sent = true
 		return exchange, nil
 	}
