--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -84,12 +84,13 @@
 	return o
 }
 
-func (r *rig) Configuration() fleet.Configuration {
-	return fleet.Configuration{}.WithRevision(1).
-		WithService(fleet.Service{Name: "ledger"}).
-		WithRoute(fleet.Route{Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Idempotent: true, Kind: "read", Weight: 1}).
-		WithRoute(fleet.Route{Name: "refund", Service: "ledger", Method: "POST", PathPrefix: "/refund", Kind: "refund", Weight: 5})
-}
+func (r *rig) Configuration() fleet.Configuration { return configuration }
+
+// configuration has a read route and a refund route.
+var configuration = fleet.Configuration{}.WithRevision(1).
+	WithService(fleet.Service{Name: "ledger"}).
+	WithRoute(fleet.Route{Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Idempotent: true, Kind: "read", Weight: 1}).
+	WithRoute(fleet.Route{Name: "refund", Service: "ledger", Method: "POST", PathPrefix: "/refund", Kind: "refund", Weight: 5})
 
 func (r *rig) Ready() bool { return true }
 
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -14,15 +14,21 @@
 	// Reused tells that the request went over a connection that was used before.
 	Reused bool
 
-	cancel    context.CancelCauseFunc
-	closeBody func() error
+	cancel context.CancelCauseFunc
+}
+
+// take holds an answer in place of an earlier one.
+func (e *Exchange) take(response *http.Response) {
+	if e.Response != nil {
+		_ = e.Response.Body.Close()
+	}
+	e.Response = response
 }
 
 // Close ends the exchange; the body cannot be read afterwards.
 func (e *Exchange) Close() {
-	if e.closeBody != nil {
-		// Nothing is written to the body, so that nothing is lost by an error here.
-		_ = e.closeBody()
+	if e.Response != nil {
+		_ = e.Response.Body.Close()
 	}
 	if e.cancel != nil {
 		e.cancel(context.Canceled)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -117,8 +117,7 @@
 	}
 	response, err := p.pool(address).RoundTrip(request)
 	if err == nil {
-		exchange.Response = response
-		exchange.closeBody = response.Body.Close
+		exchange.take(response)
 		exchange.Sent = true
 		return exchange, nil
 	}
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -9,7 +9,8 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// connectionHeaders concern one connection and are not passed on.
+// connectionHeaders concern one connection and are not passed on. All names here are
+// in canonical form.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
@@ -31,13 +32,13 @@
 		}
 	}
 	for _, name := range connectionHeaders {
-		header.Del(name)
+		delete(header, name)
 	}
 }
 
 // Node removes the headers that only nodes may set.
 func Node(header http.Header) {
 	for _, name := range nodeHeaders {
-		header.Del(name)
+		delete(header, name)
 	}
 }
