Add the experiment tool and tune the detector with it

Cause: nothing measured the detector. Ruled out: the thresholds (the Lorden bound asks for one in ten hours) and the ranks. Also seen: one usual error rate learned from the faulty backend server's own first errors doubled, and a stuck backend server got no requests to be judged by. Conclusion: Done goes before Observe; failed answers enter the usual rate only when their excursion ends; a sum of its own is for stuck backend servers.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -20,7 +20,7 @@
 	spillLoad = 0.75
 	// failurePenalty is how long a failed attempt keeps its slot in the
 	// balancer's count, so that fast errors attract no traffic.
-	failurePenalty = time.Second
+	failurePenalty = 100 * time.Millisecond
 	// warmTime is the length of the slow start after a cold start.
 	warmTime = 10 * time.Second
 	// leastWarm is the share at the beginning of the slow start.
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -98,8 +98,13 @@
 	case fleet.ClassOK:
 		d.observeResult(t, place, false)
 		d.observeTimes(t, place, s)
+		t.at(0).stuck = add(t.at(0).stuck, answeredRatio)
+		t.at(place).stuck = add(t.at(place).stuck, answeredRatio)
 	case fleet.ClassCancelled:
-		d.observeCancelled(t, place, s)
+		d.observeUnanswered(t, place, s)
+	case fleet.ClassTimeout:
+		d.observeResult(t, place, true)
+		d.observeUnanswered(t, place, s)
 	default:
 		d.observeResult(t, place, true)
 	}
@@ -109,9 +114,6 @@
 func (d *Detector) observeResult(t *track, place int, failed bool) {
 	kind := d.kinds[place]
 	all, own := t.at(0), t.at(place)
-	if !t.suspect(place) || kind.middle.failing > 0 {
-		kind.errors.add(failed)
-	}
 	usual := min(max(kind.errors.rate(), kind.middle.failing), mostErrorRate/farApart)
 	faint := min(max(d.rule.ErrorRate, usual*farApart), mostErrorRate)
 	gross := min(max(grossErrorRate, usual*farApart), mostErrorRate)
@@ -120,6 +122,7 @@
 	own.addFailing(failed)
 	own.addResult(failed, grossNats, faintNats)
 	all.addResult(failed, grossNats, faintNats)
+	kind.errors.add(own.settle(failed, kind.middle.faint > 0))
 }
 
 // observeTimes adds the evidence of service time and path time.
@@ -164,16 +167,17 @@
 	return nats
 }
 
-// observeCancelled adds the evidence of a request whose caller gave up.
-func (d *Detector) observeCancelled(t *track, place int, s fleet.Sample) {
+// observeUnanswered adds the evidence of a request that was given up.
+func (d *Detector) observeUnanswered(t *track, place int, s fleet.Sample) {
 	lasted := max(s.PathTime, s.ServiceTime)
 	if s.At.Before(t.grace) || s.At.Add(-lasted).Before(d.resumed) {
 		return
 	}
-	nats := d.pendingNats(place, lasted)
-	own, all := t.at(place), t.at(0)
-	own.path = add(own.path, nats)
-	all.path = add(all.path, nats)
+	slow, stuck := d.pendingNats(place, lasted)
+	for _, sum := range []*sums{t.at(place), t.at(0)} {
+		sum.path = add(sum.path, slow)
+		sum.stuck = add(sum.stuck, stuck)
+	}
 }
 
 // place returns the place of a request kind in the service's list, from 1.
--- a/detector/failure.go
+++ b/detector/failure.go
@@ -7,7 +7,7 @@
 	priorErrors  = 0.3
 	priorResults = 1_000
 	// grossErrorRate is the error rate of a backend server that mostly fails.
-	grossErrorRate = 0.3
+	grossErrorRate = 0.4
 	// mostErrorRate bounds the rates that are tested for.
 	mostErrorRate = 0.9
 	// errorMemory is the number of results after which an old one weighs 1/e.
@@ -22,16 +22,15 @@
 	total  float64
 }
 
-// add takes a result in; weights fade as newer ones come.
-func (f *failures) add(failed bool) {
+// add takes a result in, with the failed answers that it settles; weights fade
+// as newer ones come.
+func (f *failures) add(settled int) {
 	if f.total >= errorMemory {
 		f.failed /= 2
 		f.total /= 2
 	}
 	f.total++
-	if failed {
-		f.failed++
-	}
+	f.failed += float64(settled)
 }
 
 // rate returns the usual error rate.
--- a/detector/kind.go
+++ b/detector/kind.go
@@ -16,4 +16,5 @@
 	slow    float64
 	path    float64
 	failing float64
+	faint   float64
 }
--- a/detector/ratio.go
+++ b/detector/ratio.go
@@ -21,6 +21,20 @@
 	return math.Log(math.Erfc((z-shift)/math.Sqrt2) / math.Erfc(z/math.Sqrt2))
 }
 
+// stuckRate is the part of the requests that a stuck backend server never answers.
+const stuckRate = 0.9
+
+// stuckRatio returns the log-likelihood ratio of a time that is at least the
+// one with normal score z for a stuck backend server, in nats.
+func stuckRatio(z float64) float64 {
+	longer := math.Erfc(z/math.Sqrt2) / 2
+	return math.Log(1 - stuckRate + stuckRate/longer)
+}
+
+// answeredRatio is the log-likelihood ratio of an answer for a stuck backend
+// server, in nats.
+var answeredRatio = math.Log(1 - stuckRate)
+
 // errorRatio returns the log-likelihood ratio of a result for a backend server
 // that fails with rate bad in a service that fails with rate usual, in nats.
 func errorRatio(failed bool, usual, bad float64) float64 {
--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -22,28 +22,26 @@
 )
 
 // Threshold returns the thresholds for the present rate of requests.
-func (d *Detector) Threshold() Threshold { return NewThreshold(d.rule, d.rate) }
+func (d *Detector) Threshold() Threshold { return NewThreshold(d.rule, d.rate, len(d.kinds)) }
 
-// Score returns the evidence against a backend server at a time.
-func (d *Detector) Score(id fleet.BackendID, now time.Time) Score {
+// Score returns the evidence against a backend server at a time, as far as the
+// thresholds let it count.
+func (d *Detector) Score(id fleet.BackendID, now time.Time, threshold Threshold) Score {
 	t, found := d.tracks[id]
 	if !found {
 		return Score{}
 	}
-	failures := d.Threshold().Failures
 	var worst Score
 	for place := range t.sums {
-		nats, cause := t.sums[place].top(failures)
-		waiting := d.waiting(t, place, now)
-		if waiting > 0 && float64(max(t.sums[place].slow, t.sums[place].path))+waiting > nats {
-			nats = float64(max(t.sums[place].slow, t.sums[place].path)) + waiting
-			cause = CauseStuck
+		nats, cause := t.sums[place].top(threshold)
+		if late := d.late(t, place, now); late > nats {
+			nats, cause = late, CauseStuck
 		}
 		if nats <= worst.Nats {
 			continue
 		}
 		if nats > comparedFrom {
-			nats -= d.peerNats(t, place, failures, now)
+			nats -= d.peerNats(t, place, threshold, now)
 		}
 		if nats > worst.Nats {
 			worst = Score{Nats: nats, Cause: cause, Kind: place, Failures: int(t.sums[place].failures)}
@@ -52,12 +50,13 @@
 	return worst
 }
 
-// waiting returns the evidence of the requests in flight of a request kind.
-func (d *Detector) waiting(t *track, place int, now time.Time) float64 {
-	if now.Before(t.grace) {
+// late returns the evidence of the requests in flight, together with that of
+// earlier ones of the request kind.
+func (d *Detector) late(t *track, place int, now time.Time) float64 {
+	if len(t.pending) == 0 && t.sums[place].stuck == 0 || now.Before(t.grace) {
 		return 0
 	}
-	total := 0.0
+	slow, stuck := 0.0, 0.0
 	for _, p := range t.pending {
 		if place != 0 && int(p.kind) != place {
 			continue
@@ -66,13 +65,19 @@
 		if start.Before(d.resumed) {
 			start = d.resumed
 		}
-		total += d.pendingNats(int(p.kind), now.Sub(start))
+		moreSlow, moreStuck := d.pendingNats(int(p.kind), now.Sub(start))
+		slow += moreSlow
+		stuck += moreStuck
 	}
-	return total
+	if slow > 0 {
+		slow += float64(max(t.sums[place].slow, t.sums[place].path))
+	}
+	return max(slow, stuck+float64(t.sums[place].stuck))
 }
 
-// pendingNats returns the evidence of a request that lasts at least this long.
-func (d *Detector) pendingNats(place int, lasted time.Duration) float64 {
+// pendingNats returns the evidence of a request that lasts at least this long,
+// for a slow and for a stuck backend server.
+func (d *Detector) pendingNats(place int, lasted time.Duration) (slow, stuck float64) {
 	kind := d.kinds[place]
 	r := &kind.path
 	middle := kind.middle.path
@@ -80,28 +85,28 @@
 		r, middle = &kind.slow, kind.middle.slow
 	}
 	if !r.ready() || lasted <= 0 {
-		return 0
+		return 0, 0
 	}
 	z, ratio := r.score(lasted)
 	if ratio < d.farRatio() {
-		return 0
+		return 0, 0
 	}
-	return pendingRatio(z-max(middle, 0), r.shift(d.rule.SlowFactor))
+	z -= max(middle, 0)
+	return pendingRatio(z, r.shift(d.rule.SlowFactor)), stuckRatio(z)
 }
 
 // farRatio returns the log ratio to the median from which a time speaks for slowness.
 func (d *Detector) farRatio() float64 { return math.Log(d.rule.SlowFactor) / 2 }
 
 // peerNats returns the evidence against the middle one of the other backend servers.
-func (d *Detector) peerNats(own *track, place, failures int, now time.Time) float64 {
+func (d *Detector) peerNats(own *track, place int, threshold Threshold, now time.Time) float64 {
 	d.scratch = d.scratch[:0]
 	for _, t := range d.tracks {
 		if t == own || place >= len(t.sums) || now.Sub(t.last) > activeFor {
 			continue
 		}
-		nats, _ := t.sums[place].top(failures)
-		nats += d.waiting(t, place, now)
-		d.scratch = append(d.scratch, nats)
+		nats, _ := t.sums[place].top(threshold)
+		d.scratch = append(d.scratch, max(nats, d.late(t, place, now)))
 	}
 	return lowerMedian(d.scratch)
 }
@@ -112,6 +117,7 @@
 		slow:    d.median(place, now, func(s *sums) float32 { return s.drift }),
 		path:    d.median(place, now, func(s *sums) float32 { return s.pathDrift }),
 		failing: d.median(place, now, func(s *sums) float32 { return s.failing }),
+		faint:   d.median(place, now, func(s *sums) float32 { return s.faint }),
 	}
 }
 
--- a/ejector/sentence.go
+++ b/ejector/sentence.go
@@ -6,10 +6,10 @@
 	// firstEjection is the length of a first ejection.
 	firstEjection = 30 * time.Second
 	// longestEjection bounds the length of repeated ones.
-	longestEjection = 30 * time.Minute
+	longestEjection = 10 * time.Minute
 	// goodTime is the time since the last return after which the next ejection
 	// is half as long as it would be.
-	goodTime = 10 * time.Minute
+	goodTime = 5 * time.Minute
 	// proposalPause is the least time between two records about one backend server.
 	proposalPause = 5 * time.Second
 	// deputyDelay is how long a deputy leaves a matter to the owner.
--- /dev/null
+++ b/experiment/model/load.go
@@ -0,0 +1,69 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// requestKind is one class of requests of the modelled service.
+type requestKind struct {
+	name   fleet.RequestKind
+	median time.Duration
+	weight float64
+	// shifted is the weight during a shift of the mix.
+	shifted float64
+}
+
+var requestKinds = []requestKind{
+	{name: "lookup", median: 15 * time.Millisecond, weight: 0.7, shifted: 0.1},
+	{name: "record", median: 25 * time.Millisecond, weight: 0.2, shifted: 0.2},
+	{name: "upload", median: 60 * time.Millisecond, weight: 0.1, shifted: 0.7},
+}
+
+const (
+	// slowKind is the place of the kind that is slow when only one is.
+	slowKind = 1
+	// idempotentShare is the part of requests that may run twice.
+	idempotentShare = 0.8
+	// Heavy tails: a part of the requests takes longer by a Pareto factor.
+	paretoShare = 0.02
+	paretoShape = 1.5
+	paretoMost  = 200.0
+	// stallEvery and stallTime are the pauses of a whole backend server under heavy tails.
+	stallEvery = 120 * time.Second
+	stallTime  = 200 * time.Millisecond
+	heavySigma = 1.0
+	// speedSpread is the standard deviation of the log speeds of healthy VMs.
+	speedSpread = 0.05
+)
+
+// drawKind returns the place of a request kind.
+func drawKind(random *rand.Rand, shifted bool) int {
+	drawn := random.Float64()
+	for i, kind := range requestKinds {
+		weight := kind.weight
+		if shifted {
+			weight = kind.shifted
+		}
+		if drawn < weight {
+			return i
+		}
+		drawn -= weight
+	}
+	return 0
+}
+
+// drawTime returns the service time of a request on a healthy backend server.
+func drawTime(random *rand.Rand, kind int, sigma float64, heavy bool) time.Duration {
+	if heavy {
+		sigma = max(sigma, heavySigma)
+	}
+	factor := math.Exp(sigma * random.NormFloat64())
+	if heavy && random.Float64() < paretoShare {
+		factor *= min(math.Pow(1-random.Float64(), -1/paretoShape), paretoMost)
+	}
+	return time.Duration(float64(requestKinds[kind].median) * factor)
+}
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -1,6 +1,8 @@
 package judge
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,7 +80,8 @@
 	return Attempt{service: service, attempt: j.detector(service).Begin(id, kind, j.clock.Now())}
 }
 
-// Done notes that a request is no longer in flight; its result goes to Observe first.
+// Done notes that a request is no longer in flight. It comes before Observe,
+// so that the request is not counted twice.
 func (j *Judge) Done(a Attempt) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -107,6 +110,7 @@
 	}
 	events := j.events
 	j.events = nil
+	slices.SortStableFunc(events, func(a, b fleet.Event) int { return strings.Compare(a.Subject, b.Subject) })
 	return events
 }
 
@@ -122,16 +126,14 @@
 
 // weigh compares the evidence against a backend server with the thresholds.
 func (j *Judge) weigh(d *detector.Detector, service fleet.ServiceName, id fleet.BackendID, now time.Time) {
-	score := d.Score(id, now)
-	t, tried := j.trials[id]
-	if !tried && score.Nats < leastTrialNats {
-		return
-	}
 	threshold := d.Threshold()
 	limit := threshold.Degrade
+	t, tried := j.trials[id]
 	if tried && t.phase == phaseProbation {
-		limit = min(limit, relapseNats)
+		threshold = threshold.WithFailures(1)
+		limit = min(limit, relapseNats+threshold.Credit)
 	}
+	score := d.Score(id, now, threshold)
 	if score.Nats < limit {
 		return
 	}
--- a/judge/step.go
+++ b/judge/step.go
@@ -6,9 +6,6 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// leastTrialNats is the evidence below which nobody is on trial.
-const leastTrialNats = 5.0
-
 // Reasons of events about recovery.
 const (
 	reasonHoldOver     = "hold-over"
--- a/judge/trial.go
+++ b/judge/trial.go
@@ -10,9 +10,9 @@
 	// firstHold is how long a backend server gets only a trickle at first.
 	firstHold = 10 * time.Second
 	// longestHold bounds the hold of one that was degraded again and again.
-	longestHold = 10 * time.Minute
+	longestHold = 5 * time.Minute
 	// goodTime is the time without fault after which the next hold is halved.
-	goodTime = 5 * time.Minute
+	goodTime = 2 * time.Minute
 	// stageTime is the least time of one stage of the probation.
 	stageTime = 3 * time.Second
 	// stageResults is the least number of answers in one stage of the probation.
