Doubt a silent connection to a backend server before the backend server

Cause: a request on a pooled connection that went silent between owner and backend server ran into its deadline, was held against the backend server, and so was each further one. Also: a dial that failed for any cause was reported as a crash; now only a refused one. Ruled out: giving up by time alone (a slow request would run twice). Before: deadline lost for each pooled connection. Planted and seen failing: pool kept, never given up, connection never doubted.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fault"
@@ -24,6 +26,8 @@
 	gate       *gate
 	request    *http.Request
 	content    []byte
+	// doubted is set when the connection, not the backend server, may be at fault.
+	doubted atomic.Bool
 }
 
 // serve waits for a slot, dispatches the attempt and answers it.
@@ -91,7 +95,12 @@
 
 // run sends the request to the backend server and holds its answer as far as the bound allows.
 func (a *attempt) run(ctx context.Context) *result {
-	exchange, err := a.dispatcher.pooler.Send(ctx, a.backend.Address, a.outgoing(ctx), a.content)
+	exchange, err := a.dispatcher.pooler.Send(ctx, pooler.Message{
+		Address: a.backend.Address,
+		Request: a.outgoing(ctx),
+		Content: a.content,
+		Doubt:   a.doubt,
+	})
 	if err != nil {
 		return a.failed(ctx, exchange, err)
 	}
@@ -148,7 +157,7 @@
 	switch {
 	case ctx.Err() != nil:
 		reason = endReason(ctx)
-	case fault.KindOf[pooler.Kind](err) == pooler.KindDial:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		a.dispatcher.locals.Crashed(a.backend.ID)
 	}
 	return &result{outcome: refused(reason), message: err.Error()}
@@ -159,6 +168,9 @@
 	if ctx.Err() != nil {
 		return &result{outcome: unknown(endReason(ctx)), message: "the time limit passed or the caller left"}
 	}
+	if fault.KindOf[pooler.Kind](err) == pooler.KindSilent {
+		return &result{outcome: unknown(fleet.ReasonSilent), message: err.Error()}
+	}
 	if !a.crashed() {
 		return &result{outcome: unknown(fleet.ReasonBroken), message: err.Error()}
 	}
@@ -171,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := d.pooler.Probe(ctx, a.backend.Address)
-	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
 	d.locals.Crashed(a.backend.ID)
@@ -186,7 +198,7 @@
 		Service:     a.backend.Service,
 		Backend:     a.backend.ID,
 		Kind:        a.call.kind,
-		Class:       r.class(),
+		Class:       a.class(r),
 		ServiceTime: took,
 	})
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,7 +90,7 @@
 		d.poisoner = poisoner.New(d.clock)
 	}
 	if d.pooler == nil {
-		d.pooler = pooler.New(pooler.WithClock(d.clock))
+		d.pooler = pooler.New(pooler.WithClock(d.clock), pooler.WithProgress(DefaultProgress))
 	}
 	if d.memory == nil {
 		d.memory = accountant.New(DefaultMemory)
@@ -99,31 +99,6 @@
 	d.answers = collector.New(d.memory, d.answerBound)
 }
 
-// Run keeps the guard's view of the members until ctx is done.
-func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := d.clock.NewTicker(watchSpacing)
-	defer ticker.Stop()
-	for {
-		d.watch()
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// watch tells the guard which nodes are members.
-func (d *Dispatcher) watch() {
-	var nodes []fleet.NodeID
-	for _, member := range d.members.Members() {
-		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
-			nodes = append(nodes, member.ID)
-		}
-	}
-	d.guard.Watch(nodes)
-}
-
 // InFlight returns the requests that run on a backend server.
 func (d *Dispatcher) InFlight(id fleet.BackendID) int {
 	d.mu.Lock()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -98,6 +98,13 @@
 	return g.admitter.Running(), g.admitter.Waiting()
 }
 
+// usual returns the usual service time of a kind, or 0 when none was seen.
+func (g *gate) usual(kind fleet.RequestKind) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Expected(kind)
+}
+
 // identities returns the identities of the requests in slots.
 func (g *gate) identities() []string {
 	g.mu.Lock()
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -21,6 +21,8 @@
 	DefaultMemory = 24 << 20
 	// DefaultHeartbeat is the spacing of the signs of life sent while a request runs.
 	DefaultHeartbeat = 250 * time.Millisecond
+	// DefaultProgress is the time without a byte after which a connection to a backend server is doubted.
+	DefaultProgress = time.Second
 	// watchSpacing is the time between two looks at the members.
 	watchSpacing = time.Second
 	// probeTimeout bounds the fresh connection that tells a crash from a lost connection.
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -54,5 +54,5 @@
 func (none) Record(fleet.Event)                                                 {}
 func (none) Report(context.Context, fleet.BackendID, []string)                  {}
 func (none) Clear(context.Context, string)                                      {}
-func (none) Configuration() fleet.Configuration                                 { return fleet.Configuration{} }
 func (none) Members() []fleet.Member                                            { return nil }
+func (none) Configuration() fleet.Configuration                                 { return fleet.Configuration{} }
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -39,7 +39,7 @@
 		return fleet.ClassOK
 	case fleet.ReasonDeadline:
 		return fleet.ClassTimeout
-	case fleet.ReasonCancelled:
+	case fleet.ReasonCancelled, fleet.ReasonSilent:
 		return fleet.ClassCancelled
 	case fleet.ReasonConnect, fleet.ReasonCrash:
 		return fleet.ClassUnreachable
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -11,7 +11,7 @@
 
 const (
 	// copySize is the size of the parts in which a large answer is streamed, in bytes.
-	copySize = 32 << 10
+	copySize = 8 << 10
 	// maxDrain bounds what is read of a refusal's body to keep the connection, in bytes.
 	maxDrain = 4 << 10
 )
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,7 +45,11 @@
 	}
 	ticket := f.tickets.get(owner.ID)
 	request := f.outgoing(ctx, s, backend, owner, number, ticket)
-	exchange, err := f.pooler.Send(ctx, owner.PeerAddress, request, s.content.Bytes())
+	exchange, err := f.pooler.Send(ctx, pooler.Message{
+		Address: owner.PeerAddress,
+		Request: request,
+		Content: s.content.Bytes(),
+	})
 	if err != nil {
 		return f.unanswered(ctx, s, owner, number, ticket, exchange, err)
 	}
@@ -153,7 +157,9 @@
 	case executed == fleet.ExecutedNo && reason != "":
 		return refused(reason, "the owner refused the request")
 	case executed == fleet.ExecutedUnknown && reason != "":
-		return unknown(reason, "the owner lost the request")
+		r := unknown(reason, "the owner lost the request")
+		r.blameless = reason == fleet.ReasonSilent
+		return r
 	default:
 		return unknown(fleet.ReasonBroken, "the answer does not come from an owner")
 	}
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -270,3 +270,31 @@
 	is.NoErr(o.dispatcher.Shutdown(context.Background()))
 	is.NoErr(r.forwarder.Shutdown(context.Background()))
 }
+
+// TestSilentBackendConnectionBlamesNobody silences the pooled connections between an
+// owner and its backend server: the read is answered by another backend server, and the
+// next one by the first again.
+func TestSilentBackendConnectionBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	l, other := newLedger(), newLedger()
+	r := newRig(t)
+	o := r.addOwner("a", l, dispatcher.WithPooler(pooler.New(pooler.WithProgress(100*time.Millisecond))), dispatcher.WithObserver(r))
+	r.addOwner("b", other)
+	relay := newRelay(t, o.backend.Address)
+	o.mu.Lock()
+	o.backend.Address = relay.listener.Addr().String()
+	o.mu.Unlock()
+	ask(t, r, "GET", "/", "")
+	relay.silence()
+	response, _ := ask(t, r, "GET", "/", "", fleet.HeaderRequest, "read")
+	is.Equal(response.StatusCode, 200)
+	is.Equal(other.count("read"), 1)
+	response, _ = ask(t, r, "GET", "/", "", fleet.HeaderRequest, "next")
+	is.Equal(response.StatusCode, 200)
+	is.Equal(l.count("next"), 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, sample := range r.samples {
+		is.True(sample.Class == fleet.ClassOK || sample.Class == fleet.ClassCancelled)
+	}
+}
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -127,6 +127,8 @@
 func (r *rig) End(fleet.BackendID)   {}
 func (r *rig) Report(fleet.Load)     {}
 
+func (*rig) Nats(fleet.BackendID) float64 { return 0 }
+
 func (*rig) Advise(fleet.ServiceName, fleet.BackendID, float64) {}
 
 func (*rig) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) (done func()) {
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -22,7 +22,7 @@
 		if last.answered() {
 			return last
 		}
-		if !last.blameless {
+		if !last.blameless || last.outcome.Executed != fleet.ExecutedNo {
 			tried = append(tried, backend.ID)
 		}
 		if !f.again(ctx, s, backend, number, last) {
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -18,8 +18,12 @@
 	"cowsliptally.example/cowsliptally/fault"
 )
 
-// maxStale bounds the idle connections found closed before a fresh one is used.
-const maxStale = 3
+const (
+	// maxStale bounds the idle connections found closed before a fresh one is used.
+	maxStale = 3
+	// maxHead bounds the head of an answer in bytes.
+	maxHead = 64 << 10
+)
 
 // errSilent is the cause of a cancellation for want of progress.
 var errSilent = errors.New("the connection made no progress")
@@ -31,6 +35,8 @@
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	connections int
+	// fresh makes a connection for each request.
+	fresh *http.Transport
 
 	mu    sync.Mutex
 	pools *simplelru.LRU[string, *http.Transport]
@@ -54,14 +60,16 @@
 		panic(err)
 	}
 	p.pools = pools
+	dialer := &net.Dialer{Timeout: p.dialTimeout}
+	p.fresh = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	return p
 }
 
-// Send sends a request with this content to an address once. A pooled connection
-// found closed before a byte was written is replaced; nothing else is tried twice.
-func (p *Pooler) Send(ctx context.Context, address string, r *http.Request, content []byte) (*Exchange, error) {
+// Send sends a message once. A pooled connection found closed before a byte was
+// written is replaced; nothing else is tried twice.
+func (p *Pooler) Send(ctx context.Context, m Message) (*Exchange, error) {
 	for stale := 0; ; stale++ {
-		exchange, err := p.send(ctx, address, r, content, stale >= maxStale)
+		exchange, err := p.send(ctx, m, stale >= maxStale)
 		if err == nil || exchange.Sent || !exchange.Reused || ctx.Err() != nil {
 			return exchange, err
 		}
@@ -86,6 +94,20 @@
 	return probe.Close()
 }
 
+// Ask tries a fresh connection with a request that every HTTP server answers.
+func (p *Pooler) Ask(ctx context.Context, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+address, nil)
+	if err != nil {
+		return fault.New("ask", KindDial, "address %q: %w", address, err)
+	}
+	request.URL.Opaque = "*"
+	response, err := p.fresh.RoundTrip(request)
+	if err != nil {
+		return fault.New("ask", KindSilent, "%s does not answer: %w", address, err)
+	}
+	return response.Body.Close()
+}
+
 // Close closes all connections that are not in use.
 func (p *Pooler) Close() {
 	p.mu.Lock()
@@ -93,10 +115,10 @@
 	p.pools.Purge()
 }
 
-func (p *Pooler) send(ctx context.Context, address string, r *http.Request, content []byte, fresh bool) (*Exchange, error) {
+func (p *Pooler) send(ctx context.Context, m Message, fresh bool) (*Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	exchange := &Exchange{cancel: cancel}
-	w := &watcher{clock: p.clock, progress: p.progress, cancel: cancel}
+	w := &watcher{clock: p.clock, progress: p.progress, doubt: m.Doubt, cancel: cancel}
 	defer w.stop()
 	var used *conn
 	var before uint64
@@ -105,17 +127,17 @@
 			used = info.Conn.(*conn)
 			before = used.writes.Load()
 			exchange.Reused = info.Reused
-			w.start(used)
+			w.start(used, info.Reused)
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
 	}
-	request := r.Clone(httptrace.WithClientTrace(ctx, trace))
-	setContent(request, content)
+	request := m.Request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	setContent(request, m.Content)
 	request.Close = fresh
 	if fresh {
-		p.Renew(address)
+		p.Renew(m.Address)
 	}
-	response, err := p.pool(address).RoundTrip(request)
+	response, err := p.pool(m.Address).RoundTrip(request)
 	if err == nil {
 		exchange.take(response)
 		exchange.Sent = true
@@ -127,7 +149,7 @@
 	}
 	cause := context.Cause(ctx)
 	cancel(err)
-	return exchange, classify(address, err, cause, used)
+	return exchange, classify(m.Address, err, cause, used)
 }
 
 // pool returns the connections to an address.
@@ -146,10 +168,11 @@
 			}
 			return &conn{Conn: made}, nil
 		},
-		DisableCompression:  true,
-		MaxConnsPerHost:     p.connections,
-		MaxIdleConnsPerHost: p.connections,
-		IdleConnTimeout:     p.idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
+		MaxConnsPerHost:        p.connections,
+		MaxIdleConnsPerHost:    p.connections,
+		IdleConnTimeout:        p.idleTimeout,
 	}
 	p.pools.Add(address, pool)
 	return pool
--- a/pooler/watcher.go
+++ b/pooler/watcher.go
@@ -13,20 +13,23 @@
 type watcher struct {
 	clock    clockwork.Clock
 	progress time.Duration
-	cancel   context.CancelCauseFunc
+	// doubt is Message.Doubt.
+	doubt  func(reused bool) bool
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
 	used    *conn
+	reused  bool
 	moves   uint64
 	timer   clockwork.Timer
 	stopped bool
 }
 
 // start watches a connection.
-func (w *watcher) start(used *conn) {
+func (w *watcher) start(used *conn, reused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.used, w.moves = used, used.moves()
+	w.used, w.reused, w.moves = used, reused, used.moves()
 	if w.progress > 0 && w.timer == nil {
 		w.timer = w.clock.AfterFunc(w.progress, w.check)
 	}
@@ -43,16 +46,26 @@
 }
 
 func (w *watcher) check() {
+	if w.still() && (w.doubt == nil || w.doubt(w.reused)) {
+		w.cancel(errSilent)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(w.progress)
+	}
+}
+
+// still reports whether no byte moved since the last look.
+func (w *watcher) still() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
-		return
+		return false
 	}
 	moves := w.used.moves()
-	if moves == w.moves {
-		w.cancel(errSilent)
-		return
-	}
+	still := moves == w.moves
 	w.moves = moves
-	w.timer.Reset(w.progress)
+	return still
 }
