Warm several connections before they are silenced in tests

Cause: with one pooled connection the tests did not see that the pool was kept. Before: the planted fault passed. After: it fails, at both hops.

--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -60,6 +60,40 @@
 	return relay
 }
 
+// together lets the first n requests end only when all have come, so that each
+// takes a connection of its own.
+func together(n int32, next http.Handler) http.Handler {
+	all := make(chan struct{})
+	var come atomic.Int32
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if come.Add(1) == n {
+			close(all)
+		}
+		<-all
+		next.ServeHTTP(w, r)
+	})
+}
+
+// warm sends n requests at a time.
+func warm(t *testing.T, r *rig, n int) {
+	var group sync.WaitGroup
+	for range n {
+		group.Go(func() { ask(t, r, "GET", "/", "") })
+	}
+	group.Wait()
+}
+
+// silences counts the connections found silent; the rig is locked.
+func (r *rig) silences() int {
+	n := 0
+	for _, event := range r.events {
+		if event.Kind == fleet.EventSilent {
+			n++
+		}
+	}
+	return n
+}
+
 func impatient() forwarder.Option {
 	return forwarder.WithPooler(pooler.New(pooler.WithProgress(200 * time.Millisecond)))
 }
@@ -134,20 +168,8 @@
 	is := is.New(t)
 	l := newLedger()
 	r := newRig(t, impatient())
-	together := make(chan struct{})
-	var warm atomic.Int32
-	relay := r.through(r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if warm.Add(1) == 4 {
-			close(together)
-		}
-		<-together
-		l.ServeHTTP(w, q)
-	})))
-	var group sync.WaitGroup
-	for range 4 {
-		group.Go(func() { ask(t, r, "POST", "/refund", "") })
-	}
-	group.Wait()
+	relay := r.through(r.addOwner("a", together(4, l)))
+	warm(t, r, 4)
 	relay.silence()
 	response, _ := ask(t, r, "POST", "/refund", "", fleet.HeaderRequest, "refund")
 	is.Equal(response.StatusCode, 200)
@@ -161,13 +183,7 @@
 	for _, sample := range r.samples {
 		is.Equal(sample.Class, fleet.ClassOK)
 	}
-	silent := 0
-	for _, event := range r.events {
-		if event.Kind == fleet.EventSilent {
-			silent++
-		}
-	}
-	is.Equal(silent, 1)
+	is.Equal(r.silences(), 1)
 }
 
 // TestSlowRequestIsNotSilent runs longer than several progress timeouts.
@@ -278,13 +294,14 @@
 	is := is.New(t)
 	l, other := newLedger(), newLedger()
 	r := newRig(t)
-	o := r.addOwner("a", l, dispatcher.WithPooler(pooler.New(pooler.WithProgress(100*time.Millisecond))), dispatcher.WithObserver(r))
+	o := r.addOwner("a", together(3, l), dispatcher.WithPooler(pooler.New(pooler.WithProgress(100*time.Millisecond))),
+		dispatcher.WithObserver(r), dispatcher.WithRecorder(r))
 	r.addOwner("b", other)
 	relay := newRelay(t, o.backend.Address)
 	o.mu.Lock()
 	o.backend.Address = relay.listener.Addr().String()
 	o.mu.Unlock()
-	ask(t, r, "GET", "/", "")
+	warm(t, r, 3)
 	relay.silence()
 	response, _ := ask(t, r, "GET", "/", "", fleet.HeaderRequest, "read")
 	is.Equal(response.StatusCode, 200)
@@ -297,4 +314,5 @@
 	for _, sample := range r.samples {
 		is.True(sample.Class == fleet.ClassOK || sample.Class == fleet.ClassCancelled)
 	}
+	is.Equal(r.silences(), 1)
 }
