Tell a caller unknown when any attempt of its request may have run

Cause: after an attempt whose answer was lost, a second attempt refused with proof made the whole outcome 'no', though the first had run.

--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -316,3 +316,37 @@
 	}
 	is.Equal(r.silences(), 1)
 }
+
+// TestOneUnknownAttemptMakesTheOutcomeUnknown runs a read whose answer is lost and whose
+// second attempt is refused with proof: the proof is not for the first.
+func TestOneUnknownAttemptMakesTheOutcomeUnknown(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t)
+	r.addOwner("a", http.HandlerFunc(l.breaking))
+	r.addOwner("b", l).setState(fleet.BackendDraining)
+	response, _ := ask(t, r, "GET", "/", "", fleet.HeaderRequest, "read")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "draining")
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(l.count("read"), 1)
+}
+
+// TestOwnerThatCannotBeAskedProvesNothing lets the owner die while it runs a refund.
+func TestOwnerThatCannotBeAskedProvesNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t)
+	var o *owner
+	dead := make(chan struct{})
+	o = r.addOwner("a", http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		l.note(q)
+		_ = o.peer.Listener.Close()
+		o.peer.CloseClientConnections()
+		close(dead)
+	}))
+	r.addOwner("b", l)
+	response, _ := ask(t, r, "POST", "/refund", "", fleet.HeaderRequest, "refund")
+	<-dead
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(l.count("refund"), 1)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -151,6 +151,10 @@
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
 	found := f.find(ctx, s)
 	defer found.close()
+	if s.mayHaveRun && found.outcome.Executed == fleet.ExecutedNo {
+		// The proof is for the last attempt only.
+		found.outcome.Executed = fleet.ExecutedUnknown
+	}
 	if found.answered() {
 		f.answer(w, s, found)
 		return
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -19,7 +19,12 @@
 
 // ask sends a request and returns its answer with the whole body.
 func ask(t testing.TB, r *rig, method, path, body string, headers ...string) (*http.Response, string) {
-	request, err := http.NewRequest(method, r.caller.URL+path, strings.NewReader(body))
+	return askAt(t, r.caller.URL, method, path, body, headers...)
+}
+
+// askAt sends a request to a node.
+func askAt(t testing.TB, url, method, path, body string, headers ...string) (*http.Response, string) {
+	request, err := http.NewRequest(method, url+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -17,6 +17,7 @@
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/guard"
 	"cowsliptally.example/cowsliptally/poisoner"
 	"cowsliptally.example/cowsliptally/spreader"
 )
@@ -42,13 +43,14 @@
 // addIngress starts a node without backend servers and sends the next requests to it.
 func (r *rig) addIngress(name fleet.NodeID, options ...forwarder.Option) {
 	suspects := poisoner.New(clockwork.NewRealClock())
+	keys := guard.New(name, clockwork.NewRealClock())
 	options = append([]forwarder.Option{
-		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithPoisoner(suspects),
+		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithPoisoner(suspects), forwarder.WithGuard(keys),
 	}, options...)
 	r.forwarder = forwarder.New(name, r, r, r, options...)
 	r.caller = httptest.NewServer(r.forwarder)
 	r.t.Cleanup(r.caller.Close)
-	r.join(name, dispatcher.New(name, &owner{}, dispatcher.WithPoisoner(suspects)))
+	r.join(name, dispatcher.New(name, &owner{}, dispatcher.WithPoisoner(suspects), dispatcher.WithGuard(keys)))
 }
 
 // join serves a node's peer address.
@@ -163,6 +165,12 @@
 	return o.backend, o.backend.ID == id
 }
 
+func (o *owner) setState(state fleet.BackendState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.backend.State = state
+}
+
 func (o *owner) Crashed(fleet.BackendID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -32,6 +32,8 @@
 	idempotent   bool
 	deadline     time.Time
 	granted      bool
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
 	// trialNode permitted the trial run of this suspect; it is empty for others.
 	trialNode fleet.NodeID
 }
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -22,6 +22,9 @@
 		if last.answered() {
 			return last
 		}
+		if last.outcome.Executed == fleet.ExecutedUnknown {
+			s.mayHaveRun = true
+		}
 		if !last.blameless || last.outcome.Executed != fleet.ExecutedNo {
 			tried = append(tried, backend.ID)
 		}
