--- /dev/null
+++ b/disseminator/disseminator_test.go
@@ -0,0 +1,66 @@
+package disseminator_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/disseminator"
+)
+
+func key(i int) disseminator.Key {
+	return disseminator.Key{Class: disseminator.ClassMember, ID: fmt.Sprint(i)}
+}
+
+func tenBytes(disseminator.Key) int { return 10 }
+
+func TestTakeBoundsBytesAndCopies(t *testing.T) {
+	is := is.New(t)
+	d := disseminator.New()
+	for i := range 20 {
+		d.Add(key(i))
+	}
+	sent := make(map[disseminator.Key]int)
+	for d.Len() > 0 {
+		taken := d.Take(55, 64, tenBytes)
+		is.True(len(taken) > 0 && len(taken) <= 5) // at most 55 bytes
+		for _, k := range taken {
+			sent[k]++
+		}
+	}
+	for i := range 20 {
+		is.Equal(sent[key(i)], disseminator.Limit(64))
+	}
+}
+
+func TestTakePrefersLeastSentAndSkipsKnown(t *testing.T) {
+	is := is.New(t)
+	d := disseminator.New()
+	d.Add(key(1))
+	is.Equal(d.Take(10, 8, tenBytes), []disseminator.Key{key(1)})
+	d.Add(key(2))
+	is.Equal(d.Take(10, 8, tenBytes), []disseminator.Key{key(2)})
+	d.Add(key(3))
+	skipThird := func(k disseminator.Key) int {
+		if k == key(3) {
+			return disseminator.Skip
+		}
+		return 10
+	}
+	is.Equal(len(d.Take(30, 8, skipThird)), 2)
+	is.Equal(d.Take(10, 8, tenBytes), []disseminator.Key{key(3)}) // kept, not counted
+}
+
+func TestPushHandsOutEachChangeOnce(t *testing.T) {
+	is := is.New(t)
+	d := disseminator.New()
+	d.Add(key(1))
+	d.Add(key(2))
+	is.Equal(d.Push(10, tenBytes), []disseminator.Key{key(1)})
+	is.Equal(d.Push(100, tenBytes), []disseminator.Key{key(2)})
+	is.Equal(len(d.Push(100, tenBytes)), 0)
+	d.Take(100, 8, tenBytes)
+	d.Add(key(1)) // changed again
+	is.Equal(d.Push(100, tenBytes), []disseminator.Key{key(1)})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -180,6 +180,7 @@
 	return i
 }
 
+// seconds returns the age of the roster from 1, so that 0 marks what is no tombstone.
 func (r *Roster) seconds() uint32 {
-	return uint32(r.clock.Now().Sub(r.start) / time.Second)
+	return uint32(r.clock.Now().Sub(r.start)/time.Second) + 1
 }
