--- a/fleet/header.go
+++ b/fleet/header.go
@@ -32,8 +32,22 @@
 	HeaderSlots = "Cowsliptally-Slots"
 	// HeaderServiceTime carries the time at the backend server in microseconds.
 	HeaderServiceTime = "Cowsliptally-Service-Time"
+	// HeaderEvidence carries the owner's evidence against the backend server, in nats.
+	HeaderEvidence = "Cowsliptally-Evidence"
 	// HeaderRevision carries the configuration revision of the answering node.
 	HeaderRevision = "Cowsliptally-Revision"
 	// HeaderLength carries the length of the answer's body in bytes between nodes.
 	HeaderLength = "Cowsliptally-Length"
+	// HeaderTicket carries the owner's own time stamp, echoed by the next attempts to it.
+	HeaderTicket = "Cowsliptally-Ticket"
+	// HeaderWeight carries the worth of the request between nodes.
+	HeaderWeight = "Cowsliptally-Weight"
+	// HeaderReporter carries the node that reported the crash which made a request suspect.
+	HeaderReporter = "Cowsliptally-Reporter"
+	// HeaderCrashed carries the backend server that crashed.
+	HeaderCrashed = "Cowsliptally-Crashed"
+	// HeaderTrial carries "true" on the one permitted run of a suspect.
+	HeaderTrial = "Cowsliptally-Trial"
+	// HeaderIdentity carries the request's identity between nodes, the same for each re-sending.
+	HeaderIdentity = "Cowsliptally-Identity"
 )
