--- a/experiment/model/model.go
+++ b/experiment/model/model.go
@@ -16,7 +16,7 @@
 	stepEvery = time.Second
 	// ownersNode stands for the owners of all backend servers.
 	ownersNode fleet.NodeID = "owners"
-	zoneCount               = 3
+	zoneCount  int          = 3
 )
 
 // Model is one run.
