Refuse what waits when a backend server drains; bound the time to give keys back

Cause: requests that waited for a slot of a draining backend server found out only when a slot came free; a guard that did not answer could delay a caller past the stated slack. Ruled out: a duty that looks at every state each second (too late, and one more duty). Before: waits until a slot is free. After: refused with the first attempt that finds the backend server draining; Slack is 550 ms and covers seal and guard.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -31,9 +31,7 @@
 	header.Set(fleet.HeaderTicket, d.sealer.Ticket())
 	revision := d.configurations.Configuration().Revision()
 	header.Set(fleet.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
-	d.mu.Lock()
-	g := d.gates[c.backend]
-	d.mu.Unlock()
+	g := d.known(c.backend)
 	if g == nil {
 		return
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -101,9 +101,7 @@
 
 // InFlight returns the requests that run on a backend server.
 func (d *Dispatcher) InFlight(id fleet.BackendID) int {
-	d.mu.Lock()
-	g := d.gates[id]
-	d.mu.Unlock()
+	g := d.known(id)
 	if g == nil {
 		return 0
 	}
@@ -162,16 +160,28 @@
 	a.serve(ctx, w)
 }
 
-// available returns the backend server of a call, or why it takes no work.
+// available returns the backend server of a call, or why it takes no work. In that
+// case all that waits for it is refused as well.
 func (d *Dispatcher) available(c call) (fleet.Backend, fleet.Reason) {
 	backend, found := d.locals.Backend(c.backend)
-	if !found || backend.State == fleet.BackendGone {
-		return backend, fleet.ReasonGone
-	}
-	if !backend.TakesWork() {
-		return backend, fleet.ReasonDraining
+	reason := fleet.Reason("")
+	switch {
+	case !found || backend.State == fleet.BackendGone:
+		reason = fleet.ReasonGone
+	case !backend.TakesWork():
+		reason = fleet.ReasonDraining
+	}
+	if g := d.known(c.backend); g != nil && reason != "" {
+		g.close()
 	}
-	return backend, ""
+	return backend, reason
+}
+
+// known returns the gate of a backend server that was used before, or nil.
+func (d *Dispatcher) known(id fleet.BackendID) *gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gates[id]
 }
 
 // gate returns the gate of a backend server.
@@ -184,7 +194,7 @@
 		g = newGate(backend.Slots, d.usage, d.clock)
 		d.gates[backend.ID] = g
 	}
-	g.resize(backend.Slots)
+	g.open(backend.Slots)
 	return g
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
@@ -17,17 +19,35 @@
 
 // local is one backend server of the VM.
 type local struct {
+	mu      sync.Mutex
 	backend fleet.Backend
 	ran     int
+	// hold keeps requests running until it is closed.
+	hold chan struct{}
+}
+
+func (l *local) setState(state fleet.BackendState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.backend.State = state
 }
 
 func (l *local) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.backend, id == l.backend.ID
 }
 
 func (l *local) Crashed(fleet.BackendID) {}
 
-func (l *local) ServeHTTP(http.ResponseWriter, *http.Request) { l.ran++ }
+func (l *local) ServeHTTP(http.ResponseWriter, *http.Request) {
+	l.mu.Lock()
+	l.ran++
+	l.mu.Unlock()
+	if l.hold != nil {
+		<-l.hold
+	}
+}
 
 func newLocal(t *testing.T) *local {
 	l := &local{}
@@ -85,9 +105,36 @@
 	is.Equal(outcome(first), "no ticket")
 	ticket := first.Header().Get(fleet.HeaderTicket)
 	is.Equal(outcome(send(d, "r", "x", ticket, "true")), "no badrequest")
-	l.backend.State = fleet.BackendDraining
+	l.setState(fleet.BackendDraining)
 	is.Equal(outcome(send(d, "r", "1", ticket, "true")), "no draining")
-	l.backend.State = fleet.BackendGone
+	l.setState(fleet.BackendGone)
 	is.Equal(outcome(send(d, "r", "1", ticket, "true")), "no gone")
 	is.Equal(l.ran, 0)
 }
+
+// TestDrainingRefusesWhatWaits drains a backend server while one request runs and
+// another waits for its only slot.
+func TestDrainingRefusesWhatWaits(t *testing.T) {
+	is := is.New(t)
+	l := newLocal(t)
+	l.backend.Slots = 1
+	l.hold = make(chan struct{})
+	d := dispatcher.New("node", l)
+	ticket := send(d, "r", "1", "", "false").Header().Get(fleet.HeaderTicket)
+	running, waiting := make(chan string), make(chan string)
+	go func() { running <- outcome(send(d, "runs", "1", ticket, "false")) }()
+	for d.InFlight("backend") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { waiting <- outcome(send(d, "waits", "1", ticket, "false")) }()
+	for send(d, "x", "1", "", "false").Header().Get(fleet.HeaderQueued) != "1" {
+		time.Sleep(time.Millisecond)
+	}
+	l.setState(fleet.BackendDraining)
+	is.Equal(outcome(send(d, "new", "1", ticket, "false")), "no draining")
+	is.Equal(<-waiting, "no draining")
+	close(l.hold)
+	is.Equal(<-running, "yes ")
+	l.setState(fleet.BackendReady)
+	is.Equal(outcome(send(d, "later", "1", ticket, "false")), "yes ")
+}
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -81,10 +81,11 @@
 	g.deliver(g.admitter.Close())
 }
 
-// resize follows the announced slots.
-func (g *gate) resize(slots int) {
+// open takes work for a backend server with this many slots.
+func (g *gate) open(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.admitter.Open()
 	if slots != g.slots {
 		g.slots = slots
 		g.deliver(g.admitter.Resize(slots, g.clock.Now()))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -160,8 +160,7 @@
 		return
 	}
 	if found.outcome.Executed == fleet.ExecutedNo {
-		f.endTrial(s)
-		f.release(s)
+		f.giveBack(s)
 	}
 	f.refuse(w, s, found)
 }
--- a/forwarder/grant.go
+++ b/forwarder/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"cowsliptally.example/cowsliptally/fleet"
 )
@@ -41,7 +42,17 @@
 	return f.peers.grant(ctx, member.PeerAddress, s.service, s.key, s.holder)
 }
 
-// release gives the key back after proof that the submission did not and will not run.
+// giveBack returns what a submission holds at other nodes, after proof that it did not
+// and will not run. It goes before the caller's answer, so that the caller may send the
+// request again at once.
+func (f *Forwarder) giveBack(s *submission) {
+	var group sync.WaitGroup
+	group.Go(func() { f.release(s) })
+	group.Go(func() { f.endTrial(s) })
+	group.Wait()
+}
+
+// release gives the key back.
 func (f *Forwarder) release(s *submission) {
 	if !s.granted {
 		return
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -28,10 +28,11 @@
 	DefaultProgress = time.Second
 	// DefaultWriteTimeout bounds the writing of one part of an answer to a slow caller.
 	DefaultWriteTimeout = 10 * time.Second
-	// Slack bounds how long after its deadline a caller hears: the time to seal an attempt.
-	Slack = 300 * time.Millisecond
 	// sealTimeout bounds one call to another node about a request.
 	sealTimeout = 250 * time.Millisecond
+	// Slack bounds how long after its deadline a caller hears: the time to seal an
+	// attempt, and then to give back its key.
+	Slack = 2*sealTimeout + 50*time.Millisecond
 )
 
 // Option changes a part or setting of a Forwarder.
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// endTrial gives the permission back after proof that the submission did not and will not run.
+// endTrial gives the permission back.
 func (f *Forwarder) endTrial(s *submission) {
 	if s.trialNode == "" {
 		return
