--- a/command/root.go
+++ b/command/root.go
@@ -18,11 +18,15 @@
 
 // root holds every subcommand.
 type root struct {
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `env:"-" help:"Print the version and exit."`
 	Address string           `help:"Peer address of any node, for all commands but node." default:"127.0.0.1:7101" placeholder:"IP:PORT"`
 	Wait    time.Duration    `help:"Longest wait for the node's answer." default:"10s"`
 
 	Node      Node      `cmd:"" help:"Run a node beside the backend servers of this VM."`
+	Status    Status    `cmd:"" help:"Show services, capacity, nodes and the log service; fails if a promise is at risk."`
+	Explain   Explain   `cmd:"" help:"Tell what happened to a backend server, a request or a service."`
+	Events    Events    `cmd:"" help:"List a node's journal."`
+	Counters  Counters  `cmd:"" help:"List a node's counters."`
 	Apply     Apply     `cmd:"" help:"Bring the configuration to what a file says."`
 	Diff      Diff      `cmd:"" help:"Show what apply would change."`
 	Export    Export    `cmd:"" help:"Print the configuration as a file for apply."`
@@ -32,6 +36,7 @@
 	Service   Service   `cmd:"" help:"Change and list services."`
 	Route     Route     `cmd:"" help:"Change and list routes."`
 	Limit     Limit     `cmd:"" help:"Change and list limits of organisations."`
+	Manual    Manual    `cmd:"" hidden:"" help:"Print the manual page."`
 	Override  Override  `cmd:"" help:"Keep a backend server in or out."`
 }
 
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -17,10 +17,18 @@
 	cancel context.CancelCauseFunc
 }
 
+// take holds an answer in place of an earlier one.
+func (e *Exchange) take(response *http.Response) {
+	if e.Response != nil {
+		_ = e.Response.Body.Close()
+	}
+	e.Response = response
+}
+
 // Close ends the exchange; the body cannot be read afterwards.
 func (e *Exchange) Close() {
 	if e.Response != nil {
-		e.Response.Body.Close()
+		_ = e.Response.Body.Close()
 	}
 	if e.cancel != nil {
 		e.cancel(context.Canceled)
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -9,7 +9,8 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// connectionHeaders concern one connection and are not passed on.
+// connectionHeaders concern one connection and are not passed on. All names here are
+// in canonical form.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
@@ -20,7 +21,8 @@
 	fleet.HeaderBackend, fleet.HeaderAttempt, fleet.HeaderExecuted, fleet.HeaderReason,
 	fleet.HeaderInFlight, fleet.HeaderQueued, fleet.HeaderSlots, fleet.HeaderServiceTime,
 	fleet.HeaderRevision, fleet.HeaderLength, fleet.HeaderTicket, fleet.HeaderWeight,
-	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial,
+	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial, fleet.HeaderReporter,
+	fleet.HeaderCrashed,
 }
 
 // Connection removes the headers that concern one connection.
@@ -31,13 +33,13 @@
 		}
 	}
 	for _, name := range connectionHeaders {
-		header.Del(name)
+		delete(header, name)
 	}
 }
 
 // Node removes the headers that only nodes may set.
 func Node(header http.Header) {
 	for _, name := range nodeHeaders {
-		header.Del(name)
+		delete(header, name)
 	}
 }
