--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -81,10 +81,11 @@
 	g.deliver(g.admitter.Close())
 }
 
-// resize follows the announced slots.
-func (g *gate) resize(slots int) {
+// open takes work for a backend server with this many slots.
+func (g *gate) open(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.admitter.Open()
 	if slots != g.slots {
 		g.slots = slots
 		g.deliver(g.admitter.Resize(slots, g.clock.Now()))
@@ -98,6 +99,13 @@
 	return g.admitter.Running(), g.admitter.Waiting()
 }
 
+// usual returns the usual service time of a kind, or 0 when none was seen.
+func (g *gate) usual(kind fleet.RequestKind) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Expected(kind)
+}
+
 // identities returns the identities of the requests in slots.
 func (g *gate) identities() []string {
 	g.mu.Lock()
