Divide the memory for bodies, and reserve a known length at once

Cause: 24 uploads of 1 MB at a time into 8 MB, with ten callers that do not read, were all refused: each took part of the memory and none could end; slow readers held the rest. Ruled out: a larger bound (the same at more uploads).

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -5,6 +5,8 @@
 
 // Accountant counts reserved bytes against a bound. It is safe for concurrent use.
 type Accountant struct {
+	// whole lends what this one lends on; nil when it is the whole itself.
+	whole    *Accountant
 	bound    int64
 	reserved atomic.Int64
 	peak     atomic.Int64
@@ -15,10 +17,16 @@
 	return &Accountant{bound: bound}
 }
 
+// Share returns an accountant that lends up to bound bytes of this one's, so that
+// one use of memory leaves room for others.
+func (a *Accountant) Share(bound int64) *Accountant {
+	return &Accountant{whole: a, bound: bound}
+}
+
 // Reserve lends n bytes, or returns false when the bound would be passed.
 func (a *Accountant) Reserve(n int64) bool {
 	reserved := a.reserved.Add(n)
-	if reserved > a.bound {
+	if reserved > a.bound || a.whole != nil && !a.whole.Reserve(n) {
 		a.reserved.Add(-n)
 		return false
 	}
@@ -33,6 +41,9 @@
 // Release gives n bytes back.
 func (a *Accountant) Release(n int64) {
 	a.reserved.Add(-n)
+	if a.whole != nil {
+		a.whole.Release(n)
+	}
 }
 
 // Bound returns the bound in bytes.
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -75,7 +75,7 @@
 	if length > 0 {
 		bound = min(bound, length)
 	}
-	return int64(len(content.bytes)) < bound && content.grow(bound)
+	return int64(len(content.bytes)) < bound && content.grow(bound, length > 0)
 }
 
 func (c *Collector) finish(content *Content, length int64) (*Content, bool, error) {
--- a/collector/content.go
+++ b/collector/content.go
@@ -19,9 +19,13 @@
 	c.bytes = nil
 }
 
-// grow makes room for at least one more byte and at most bound bytes in all.
-func (c *Content) grow(bound int64) bool {
-	size := min(bound, max(firstSize, 2*c.reserved))
+// grow makes room for at least one more byte and at most bound bytes in all. A body
+// of known length gets its memory at once: one that has begun is then able to end.
+func (c *Content) grow(bound int64, known bool) bool {
+	size := bound
+	if !known {
+		size = min(bound, max(firstSize, 2*c.reserved))
+	}
 	if !c.accountant.Reserve(size) {
 		return false
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -96,7 +96,7 @@
 		d.memory = accountant.New(DefaultMemory)
 	}
 	d.bodies = collector.New(d.memory, d.bodyBound)
-	d.answers = collector.New(d.memory, d.answerBound)
+	d.answers = collector.New(d.memory.Share(d.memory.Bound()/memoryShares), d.answerBound)
 }
 
 // InFlight returns the requests that run on a backend server.
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -19,6 +19,8 @@
 	DefaultAnswerBound = 1 << 20
 	// DefaultMemory bounds the bytes of all bodies at a time.
 	DefaultMemory = 24 << 20
+	// memoryShares divides the memory between bodies and answers of ingress and owner.
+	memoryShares = 4
 	// DefaultHeartbeat is the spacing of the signs of life sent while a request runs.
 	DefaultHeartbeat = 250 * time.Millisecond
 	// DefaultProgress is the time without a byte after which a connection to a backend server is doubted.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,8 +97,9 @@
 	if f.memory == nil {
 		f.memory = accountant.New(DefaultMemory)
 	}
-	f.bodies = collector.New(f.memory, f.bodyBound)
-	f.answers = collector.New(f.memory, f.answerBound)
+	share := f.memory.Bound() / memoryShares
+	f.bodies = collector.New(f.memory.Share(max(share, f.bodyBound)), f.bodyBound)
+	f.answers = collector.New(f.memory.Share(share), f.answerBound)
 }
 
 // InFlight returns the requests that are being served.
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -24,6 +24,9 @@
 	DefaultAnswerBound = 1 << 20
 	// DefaultMemory bounds the bytes of all bodies at a time.
 	DefaultMemory = 24 << 20
+	// memoryShares divides the memory between bodies and answers of ingress and owner,
+	// so that slow callers cannot take all of it.
+	memoryShares = 4
 	// DefaultProgress is the time without a sign of life after which a connection is suspected.
 	DefaultProgress = time.Second
 	// DefaultWriteTimeout bounds the writing of one part of an answer to a slow caller.
