Take queues and overload out of the evidence

Cause: under overload one slow request makes all that wait behind it late together; the sum took them as independent (140 false degradations in 6 backend-hours). Ruled out: the middle backend server's drift, which was small. A costly caller's timeouts never entered the reference. After: at most three requests in flight count, none while more than 3% are refused; timeouts enter the reference; evidence is compared with three times that against the middle one of the peers.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -28,6 +28,8 @@
 	samples  int
 	measured time.Time
 	scratch  []float64
+	// refusals is the running share of refused requests.
+	refusals float64
 	open     []fleet.BackendID
 }
 
@@ -80,6 +82,7 @@
 
 // Observe takes in the result of one attempt.
 func (d *Detector) Observe(s fleet.Sample) {
+	d.countRefusal(s.Class == fleet.ClassRefused)
 	if s.Class == fleet.ClassRefused {
 		return
 	}
@@ -142,7 +145,7 @@
 			kind.slow.add(s.ServiceTime)
 		}
 	}
-	if s.PathTime > 0 {
+	if s.PathTime > 0 && !d.overloaded() {
 		nats := d.weigh(&kind.path, s.PathTime, kind.middle.path, &own.pathDrift)
 		own.path = add(own.path, nats)
 		all.path = add(all.path, nats)
@@ -174,6 +177,9 @@
 		return
 	}
 	slow, stuck := d.pendingNats(place, lasted)
+	if !t.suspect(place) && s.PathTime > 0 {
+		d.kinds[place].path.add(s.PathTime)
+	}
 	for _, sum := range []*sums{t.at(place), t.at(0)} {
 		sum.path = add(sum.path, slow)
 		sum.stuck = add(sum.stuck, stuck)
--- a/detector/ratio.go
+++ b/detector/ratio.go
@@ -22,7 +22,7 @@
 }
 
 // stuckRate is the part of the requests that a stuck backend server never answers.
-const stuckRate = 0.9
+const stuckRate = 0.98
 
 // stuckRatio returns the log-likelihood ratio of a time that is at least the
 // one with normal score z for a stuck backend server, in nats.
--- a/detector/reference.go
+++ b/detector/reference.go
@@ -10,7 +10,7 @@
 	bins          = 96
 	shortest      = 10 * time.Microsecond
 	// memory is the number of samples after which an old one weighs 1/e.
-	memory = 20_000
+	memory = 10_000
 	// refreshEvery is the number of samples between two refreshes of the scores.
 	refreshEvery = 256
 	// leastSamples is the number of samples from which ranks are trusted.
@@ -50,7 +50,8 @@
 
 // score returns the normal score of a time and its log ratio to the median.
 func (r *reference) score(duration time.Duration) (z, ratio float64) {
-	return float64(r.scores[bin(duration)]), math.Log(float64(duration)/float64(shortest)) - r.median
+	octaves := octaves(duration)
+	return float64(r.scores[binOf(octaves)]), octaves*math.Ln2 - r.median
 }
 
 // shift returns the normal score by which a backend server moves that is slower by factor.
@@ -95,10 +96,11 @@
 	return bins * math.Ln2 / binsPerOctave
 }
 
-func bin(duration time.Duration) int {
-	if duration <= shortest {
-		return 0
-	}
-	octaves := math.Log2(float64(duration) / float64(shortest))
-	return min(int(octaves*binsPerOctave), bins-1)
+func bin(duration time.Duration) int { return binOf(octaves(duration)) }
+
+// octaves returns the logarithm to base 2 of a time over shortest, at least 0.
+func octaves(duration time.Duration) float64 {
+	return math.Log2(float64(max(duration, shortest)) / float64(shortest))
 }
+
+func binOf(octaves float64) int { return min(int(octaves*binsPerOctave), bins-1) }
--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -14,9 +14,16 @@
 	wideShift = 0.5
 	// comparedFrom is the evidence from which peers are looked at, in nats.
 	comparedFrom = 4.0
+	// peerWeight is how often the evidence against the middle one of the others is
+	// taken off: a sum that all share spreads too widely for once.
+	peerWeight = 3.0
 	// usualRate is the rate of requests to one backend server before it is
 	// measured, per second.
 	usualRate = 10.0
+	// refusalMemory is the number of results after which an old one weighs 1/e.
+	refusalMemory = 200.0
+	// overloadRefusals is the share of refused requests that shows an overload.
+	overloadRefusals = 0.03
 	// ratePeriod is the time over which the rate is measured.
 	ratePeriod = 10 * time.Second
 )
@@ -24,6 +31,9 @@
 // Threshold returns the thresholds for the present rate of requests.
 func (d *Detector) Threshold() Threshold { return NewThreshold(d.rule, d.rate, len(d.kinds)) }
 
+// Rate returns the requests a second to one backend server.
+func (d *Detector) Rate() float64 { return d.rate }
+
 // Score returns the evidence against a backend server at a time, as far as the
 // thresholds let it count.
 func (d *Detector) Score(id fleet.BackendID, now time.Time, threshold Threshold) Score {
@@ -41,7 +51,7 @@
 			continue
 		}
 		if nats > comparedFrom {
-			nats -= d.peerNats(t, place, threshold, now)
+			nats -= peerWeight * d.peerNats(t, place, threshold.WithFailures(1), now)
 		}
 		if nats > worst.Nats {
 			worst = Score{Nats: nats, Cause: cause, Kind: place, Failures: int(t.sums[place].failures)}
@@ -56,7 +66,7 @@
 	if len(t.pending) == 0 && t.sums[place].stuck == 0 || now.Before(t.grace) {
 		return 0
 	}
-	slow, stuck := 0.0, 0.0
+	var slow, stuck most
 	for _, p := range t.pending {
 		if place != 0 && int(p.kind) != place {
 			continue
@@ -66,13 +76,14 @@
 			start = d.resumed
 		}
 		moreSlow, moreStuck := d.pendingNats(int(p.kind), now.Sub(start))
-		slow += moreSlow
-		stuck += moreStuck
+		slow.add(moreSlow)
+		stuck.add(moreStuck)
 	}
-	if slow > 0 {
-		slow += float64(max(t.sums[place].slow, t.sums[place].path))
+	nats := slow.sum()
+	if nats > 0 {
+		nats += float64(max(t.sums[place].slow, t.sums[place].path))
 	}
-	return max(slow, stuck+float64(t.sums[place].stuck))
+	return max(nats, stuck.sum()+float64(t.sums[place].stuck))
 }
 
 // pendingNats returns the evidence of a request that lasts at least this long,
@@ -84,7 +95,7 @@
 	if !r.ready() {
 		r, middle = &kind.slow, kind.middle.slow
 	}
-	if !r.ready() || lasted <= 0 {
+	if !r.ready() || lasted <= 0 || d.overloaded() {
 		return 0, 0
 	}
 	z, ratio := r.score(lasted)
@@ -140,6 +151,19 @@
 	return values[(len(values)-1)/2]
 }
 
+// countRefusal moves the running share of refused requests.
+func (d *Detector) countRefusal(refused bool) {
+	value := 0.0
+	if refused {
+		value = 1
+	}
+	d.refusals += (value - d.refusals) / refusalMemory
+}
+
+// overloaded reports whether so much is refused that waiting says nothing of
+// single backend servers.
+func (d *Detector) overloaded() bool { return d.refusals > overloadRefusals }
+
 // countRate measures the rate of requests to one backend server.
 func (d *Detector) countRate(now time.Time) {
 	d.samples++
--- a/experiment/model/model.go
+++ b/experiment/model/model.go
@@ -15,8 +15,8 @@
 	tickEvery = judge.TickEvery
 	stepEvery = time.Second
 	// ownersNode stands for the owners of all backend servers.
-	ownersNode fleet.NodeID = "owners"
-	zoneCount               = 3
+	ownersNode = fleet.NodeID("owners")
+	zoneCount  = 3
 )
 
 // Model is one run.
--- a/judge/advise.go
+++ b/judge/advise.go
@@ -14,7 +14,8 @@
 func (j *Judge) Advise(service fleet.ServiceName, id fleet.BackendID, nats float64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	threshold := j.detector(service).Threshold()
+	d := j.detector(service)
+	threshold := d.Threshold()
 	if nats < threshold.Degrade {
 		return
 	}
@@ -27,7 +28,7 @@
 		return
 	}
 	evidence := Evidence{Backend: id, Service: service, Nats: nats, Cause: CauseAdvised, Threshold: threshold}
-	t.degrade(j.clock.Now(), evidence)
+	t.degrade(j.clock.Now(), evidence, d.Rate())
 	j.note(fleet.EventDegradation, id, service, string(CauseAdvised), evidence.Figures())
 }
 
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -151,7 +151,7 @@
 		}
 		return
 	}
-	t.degrade(now, evidence)
+	t.degrade(now, evidence, d.Rate())
 	j.note(fleet.EventDegradation, id, service, string(evidence.Cause), evidence.Figures())
 }
 
--- a/judge/trial.go
+++ b/judge/trial.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// firstHold is how long a backend server gets only a trickle at first.
-	firstHold = 10 * time.Second
+	// firstHold is how long a backend server gets only a trickle at first; where
+	// requests are rare it lasts for as many as holdRequests at a full share.
+	firstHold    = 10 * time.Second
+	holdRequests = 100.0
+	mostFirst    = 2 * time.Minute
 	// longestHold bounds the hold of one that was degraded again and again.
 	longestHold = 5 * time.Minute
 	// goodTime is the time without fault after which the next hold is halved.
@@ -62,23 +65,33 @@
 	}
 }
 
-// degrade begins a hold; a repeated one lasts twice as long.
-func (t *trial) degrade(now time.Time, evidence Evidence) {
-	t.hold = t.nextHold(now)
+// degrade begins a hold; a repeated one lasts twice as long. Rate is that of the
+// requests at a full share, per second.
+func (t *trial) degrade(now time.Time, evidence Evidence, rate float64) {
+	t.hold = t.nextHold(now, shortestHold(rate))
 	t.phase = phaseHeld
 	t.since = now
 	t.evidence = evidence
 }
 
+// shortestHold returns the length of a first hold.
+func shortestHold(rate float64) time.Duration {
+	if rate <= 0 {
+		return mostFirst
+	}
+	needed := time.Duration(holdRequests / rate * float64(time.Second))
+	return min(max(needed, firstHold), mostFirst)
+}
+
 // nextHold returns the length of a hold that begins now.
-func (t *trial) nextHold(now time.Time) time.Duration {
+func (t *trial) nextHold(now time.Time, shortest time.Duration) time.Duration {
 	hold := t.hold * 2
 	if t.phase == phaseTrusted {
-		for good := now.Sub(t.since); good >= goodTime && hold > firstHold; good -= goodTime {
+		for good := now.Sub(t.since); good >= goodTime && hold > shortest; good -= goodTime {
 			hold /= 2
 		}
 	}
-	return min(max(hold, firstHold), longestHold)
+	return min(max(hold, shortest), longestHold)
 }
 
 // probe begins the probation.
