--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,246 @@
+// Package admitter decides which requests get the slots of one backend server,
+// which wait and which are refused. It does no I/O.
+//
+// The queue is short and holds only work that can still be answered in time.
+// When it is full, the request of least worth gives way: by its weight for each
+// second of a slot, lowered by the share that its organisation took of late.
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// timeShare is the share of the newest service time in the expected one.
+	timeShare = 0.1
+	// minCost is the least expected service time.
+	minCost = 10 * time.Microsecond
+	// minRest keeps the order by weight among requests of an organisation that took everything.
+	minRest = 1e-3
+	// maxKinds bounds the request kinds whose service time is learnt.
+	maxKinds = 64
+)
+
+// Admitter holds the slots and the queue of one backend server. It is not safe
+// for concurrent use.
+type Admitter struct {
+	slots       int
+	queueLength int
+	usage       *Usage
+	running     map[ID]struct{}
+	waiting     []Request
+	expected    map[fleet.RequestKind]time.Duration
+	mean        time.Duration
+	closed      bool
+}
+
+// New returns an admitter for a backend server with this many slots.
+func New(slots int, options ...Option) *Admitter {
+	a := &Admitter{
+		slots:       slots,
+		queueLength: slots * DefaultQueueFactor,
+		running:     make(map[ID]struct{}),
+		expected:    make(map[fleet.RequestKind]time.Duration),
+	}
+	for _, option := range options {
+		option(a)
+	}
+	if a.usage == nil {
+		a.usage = NewUsage()
+	}
+	return a
+}
+
+// Arrive decides about a new request. The decisions may refuse another one that waited.
+func (a *Admitter) Arrive(r Request, now time.Time) []Decision {
+	if a.closed {
+		return []Decision{refusal(r.ID, fleet.ReasonDraining)}
+	}
+	if !now.Add(a.Expected(r.Kind)).Before(r.Deadline) {
+		return []Decision{refusal(r.ID, fleet.ReasonDeadline)}
+	}
+	decisions := a.expire(now)
+	if len(a.running) < a.slots && len(a.waiting) == 0 {
+		return append(decisions, a.run(r, now))
+	}
+	a.waiting = append(a.waiting, r)
+	decisions = append(decisions, a.shed(now)...)
+	for _, d := range decisions {
+		if d.ID == r.ID {
+			return decisions
+		}
+	}
+	return append(decisions, Decision{ID: r.ID, Action: Wait})
+}
+
+// Done frees the slot of a request that took this long and fills it from the queue.
+func (a *Admitter) Done(id ID, kind fleet.RequestKind, took time.Duration, now time.Time) []Decision {
+	if _, found := a.running[id]; !found {
+		return nil
+	}
+	delete(a.running, id)
+	a.learn(kind, took)
+	return a.fill(now)
+}
+
+// Abandon frees the slot of a request that did not run to its end.
+func (a *Admitter) Abandon(id ID, now time.Time) []Decision {
+	if _, found := a.running[id]; !found {
+		return nil
+	}
+	delete(a.running, id)
+	return a.fill(now)
+}
+
+// Cancel forgets a request that its caller gave up; a running one keeps its slot until Done.
+func (a *Admitter) Cancel(id ID) {
+	for i, r := range a.waiting {
+		if r.ID == id {
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Tick refuses waiting requests that can no longer be answered in time.
+func (a *Admitter) Tick(now time.Time) []Decision {
+	return append(a.expire(now), a.fill(now)...)
+}
+
+// Close refuses all that waits and all that arrives later; running requests go on.
+func (a *Admitter) Close() []Decision {
+	a.closed = true
+	var decisions []Decision
+	for _, r := range a.waiting {
+		decisions = append(decisions, refusal(r.ID, fleet.ReasonDraining))
+	}
+	a.waiting = nil
+	return decisions
+}
+
+// Open takes new work again.
+func (a *Admitter) Open() { a.closed = false }
+
+// Resize changes the number of slots.
+func (a *Admitter) Resize(slots int, now time.Time) []Decision {
+	a.slots = slots
+	a.queueLength = slots * DefaultQueueFactor
+	return a.fill(now)
+}
+
+// Running returns the number of requests with a slot.
+func (a *Admitter) Running() int { return len(a.running) }
+
+// Waiting returns the number of requests in the queue.
+func (a *Admitter) Waiting() int { return len(a.waiting) }
+
+// Expected returns the usual service time of a request kind.
+func (a *Admitter) Expected(kind fleet.RequestKind) time.Duration {
+	if usual, found := a.expected[kind]; found {
+		return usual
+	}
+	return 0
+}
+
+func (a *Admitter) run(r Request, now time.Time) Decision {
+	a.running[r.ID] = struct{}{}
+	a.usage.Add(r.Organisation, a.cost(r.Kind).Seconds(), now)
+	return Decision{ID: r.ID, Action: Run}
+}
+
+// fill gives free slots to the worthiest requests that wait.
+func (a *Admitter) fill(now time.Time) []Decision {
+	decisions := a.expire(now)
+	for len(a.running) < a.slots && len(a.waiting) > 0 {
+		best, _ := a.rank(now)
+		r := a.waiting[best]
+		a.waiting = append(a.waiting[:best], a.waiting[best+1:]...)
+		decisions = append(decisions, a.run(r, now))
+	}
+	return decisions
+}
+
+// shed refuses the least worthy requests until the queue is within its bound.
+func (a *Admitter) shed(now time.Time) []Decision {
+	var decisions []Decision
+	for len(a.waiting) > a.queueLength {
+		_, worst := a.rank(now)
+		reason := fleet.ReasonBusy
+		if worst < len(a.waiting)-1 {
+			reason = fleet.ReasonShed
+		}
+		decisions = append(decisions, refusal(a.waiting[worst].ID, reason))
+		a.waiting = append(a.waiting[:worst], a.waiting[worst+1:]...)
+	}
+	return decisions
+}
+
+// rank returns the first request by worth and the last. Of equals, the first that
+// came is the best and the last that came the worst.
+func (a *Admitter) rank(now time.Time) (best, worst int) {
+	most, least := math.Inf(-1), math.Inf(1)
+	for i, r := range a.waiting {
+		worth := a.worth(r, now)
+		if worth > most {
+			best, most = i, worth
+		}
+		if worth <= least {
+			worst, least = i, worth
+		}
+	}
+	return best, worst
+}
+
+// expire refuses waiting requests whose deadline leaves no time to run them.
+func (a *Admitter) expire(now time.Time) []Decision {
+	var decisions []Decision
+	kept := a.waiting[:0]
+	for _, r := range a.waiting {
+		if now.Add(a.Expected(r.Kind)).Before(r.Deadline) {
+			kept = append(kept, r)
+			continue
+		}
+		decisions = append(decisions, refusal(r.ID, fleet.ReasonDeadline))
+	}
+	a.waiting = kept
+	return decisions
+}
+
+// worth is the value of a slot's time when it is given to a request. What an
+// organisation took of late makes its further requests worth less.
+func (a *Admitter) worth(r Request, now time.Time) float64 {
+	rest := 1 - a.usage.Share(r.Organisation, now)
+	return float64(max(1, r.Weight)) / a.cost(r.Kind).Seconds() * (minRest + rest*rest)
+}
+
+// cost is the expected service time of a kind, or of all kinds when it is new.
+func (a *Admitter) cost(kind fleet.RequestKind) time.Duration {
+	if usual, found := a.expected[kind]; found {
+		return max(usual, minCost)
+	}
+	return max(a.mean, minCost)
+}
+
+func (a *Admitter) learn(kind fleet.RequestKind, took time.Duration) {
+	a.mean = blend(a.mean, took)
+	usual, found := a.expected[kind]
+	if !found && len(a.expected) >= maxKinds {
+		return
+	}
+	a.expected[kind] = blend(usual, took)
+}
+
+// blend moves a usual time towards the newest one; 0 stands for none yet.
+func blend(usual, took time.Duration) time.Duration {
+	if usual == 0 {
+		return took
+	}
+	return usual + time.Duration(timeShare*float64(took-usual))
+}
+
+func refusal(id ID, reason fleet.Reason) Decision {
+	return Decision{ID: id, Action: Refuse, Reason: reason}
+}
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -48,6 +48,11 @@
 	ReasonNotReady Reason = "notready"
 	// ReasonBadRequest means that a header of the request has a wrong value.
 	ReasonBadRequest Reason = "badrequest"
+	// ReasonTicket means that the owner could no longer tell a late attempt from a new one.
+	ReasonTicket Reason = "ticket"
+	// ReasonSuspect means that the request was in a slot of a backend server that
+	// crashed, and that its trial run is not over.
+	ReasonSuspect Reason = "suspect"
 )
 
 // Reasons lists every reason.
@@ -57,5 +62,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonGuard,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonSilent,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
+		ReasonTicket, ReasonSuspect,
 	}
 }
--- /dev/null
+++ b/forwarder/rig_test.go
@@ -0,0 +1,178 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/spreader"
+)
+
+// rig is a small fleet in one process: an ingress and owners with backend servers.
+type rig struct {
+	t         testing.TB
+	mu        sync.Mutex
+	members   map[fleet.NodeID]fleet.Member
+	backends  []fleet.Backend
+	samples   []fleet.Sample
+	events    []fleet.Event
+	forwarder *forwarder.Forwarder
+	caller    *httptest.Server
+}
+
+func newRig(t testing.TB, options ...forwarder.Option) *rig {
+	r := &rig{t: t, members: make(map[fleet.NodeID]fleet.Member)}
+	r.addIngress("ingress", options...)
+	return r
+}
+
+// addIngress starts a node without backend servers and sends the next requests to it.
+func (r *rig) addIngress(name fleet.NodeID, options ...forwarder.Option) {
+	suspects := poisoner.New(clockwork.NewRealClock())
+	keys := guard.New(name, clockwork.NewRealClock())
+	options = append([]forwarder.Option{
+		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithPoisoner(suspects), forwarder.WithGuard(keys),
+	}, options...)
+	r.forwarder = forwarder.New(name, r, r, r, options...)
+	r.caller = httptest.NewServer(r.forwarder)
+	r.t.Cleanup(r.caller.Close)
+	r.join(name, dispatcher.New(name, &owner{}, dispatcher.WithPoisoner(suspects), dispatcher.WithGuard(keys)))
+}
+
+// join serves a node's peer address.
+func (r *rig) join(name fleet.NodeID, d *dispatcher.Dispatcher) *httptest.Server {
+	router := chi.NewRouter()
+	router.Handle(dispatcher.PathPrefix+"/*", d)
+	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(d))
+	peer := httptest.NewServer(router)
+	r.t.Cleanup(peer.Close)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members[name] = fleet.Member{
+		ID: name, PeerAddress: strings.TrimPrefix(peer.URL, "http://"), State: fleet.MemberAlive,
+	}
+	return peer
+}
+
+// addOwner starts an owner with one backend server that runs the handler.
+func (r *rig) addOwner(name string, backend http.Handler, options ...dispatcher.Option) *owner {
+	server := httptest.NewServer(backend)
+	r.t.Cleanup(server.Close)
+	o := &owner{server: server, backend: fleet.Backend{
+		ID: fleet.BackendID("backend-" + name), Service: "ledger", Owner: fleet.NodeID(name), Slots: 4,
+		Address: strings.TrimPrefix(server.URL, "http://"), State: fleet.BackendReady,
+	}}
+	suspects := spreader.New(fleet.NodeID(name), r, http.DefaultClient)
+	options = append([]dispatcher.Option{dispatcher.WithSuspects(suspects)}, options...)
+	o.dispatcher = dispatcher.New(fleet.NodeID(name), o, options...)
+	o.peer = r.join(fleet.NodeID(name), o.dispatcher)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.backends = append(r.backends, o.backend)
+	return o
+}
+
+func (r *rig) Configuration() fleet.Configuration { return configuration }
+
+// configuration has a read route and a refund route.
+var configuration = fleet.Configuration{}.WithRevision(1).
+	WithService(fleet.Service{Name: "ledger"}).
+	WithRoute(fleet.Route{Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Idempotent: true, Kind: "read", Weight: 1}).
+	WithRoute(fleet.Route{Name: "refund", Service: "ledger", Method: "POST", PathPrefix: "/refund", Kind: "refund", Weight: 5})
+
+func (r *rig) Ready() bool { return true }
+
+func (r *rig) Backends(fleet.ServiceName) []fleet.Backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backends
+}
+
+func (r *rig) Members() []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.members))
+}
+
+func (r *rig) Member(id fleet.NodeID) (fleet.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	member, found := r.members[id]
+	return member, found
+}
+
+// Pick returns the first candidate that was not tried.
+func (r *rig) Pick(_ fleet.ServiceName, candidates []fleet.Backend, tried []fleet.BackendID, _ bool) (fleet.Backend, bool) {
+	for _, candidate := range candidates {
+		if !strings.Contains(fmt.Sprint(tried), string(candidate.ID)) {
+			return candidate, true
+		}
+	}
+	return fleet.Backend{}, false
+}
+
+func (r *rig) Begin(fleet.BackendID) {}
+func (r *rig) End(fleet.BackendID)   {}
+func (r *rig) Report(fleet.Load)     {}
+
+func (*rig) Nats(fleet.BackendID) float64 { return 0 }
+
+func (*rig) Advise(fleet.ServiceName, fleet.BackendID, float64) {}
+
+func (*rig) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) (done func()) {
+	return func() {}
+}
+
+func (r *rig) Observe(s fleet.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples = append(r.samples, s)
+}
+
+func (r *rig) Record(e fleet.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+// owner is one node with its backend server.
+type owner struct {
+	mu         sync.Mutex
+	backend    fleet.Backend
+	crashed    int
+	server     *httptest.Server
+	peer       *httptest.Server
+	dispatcher *dispatcher.Dispatcher
+}
+
+func (o *owner) Backend(id fleet.BackendID) (fleet.Backend, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.backend, o.backend.ID == id
+}
+
+func (o *owner) setState(state fleet.BackendState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.backend.State = state
+}
+
+func (o *owner) Crashed(fleet.BackendID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashed++
+}
--- /dev/null
+++ b/pooler/watcher.go
@@ -0,0 +1,71 @@
+package pooler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// watcher cancels an exchange once a whole progress timeout passed in which
+// no byte moved either way.
+type watcher struct {
+	clock    clockwork.Clock
+	progress time.Duration
+	// doubt is Message.Doubt.
+	doubt  func(reused bool) bool
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	used    *conn
+	reused  bool
+	moves   uint64
+	timer   clockwork.Timer
+	stopped bool
+}
+
+// start watches a connection.
+func (w *watcher) start(used *conn, reused bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.used, w.reused, w.moves = used, reused, used.moves()
+	if w.progress > 0 && w.timer == nil {
+		w.timer = w.clock.AfterFunc(w.progress, w.check)
+	}
+}
+
+// stop ends the watch.
+func (w *watcher) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *watcher) check() {
+	if w.still() && (w.doubt == nil || w.doubt(w.reused)) {
+		w.cancel(errSilent)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(w.progress)
+	}
+}
+
+// still reports whether no byte moved since the last look.
+func (w *watcher) still() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
+	moves := w.used.moves()
+	still := moves == w.moves
+	w.moves = moves
+	return still
+}
