Spread stops and other changes at their own pace, and measure slopes

Before: one queue pace, fanout 4. The check of 2.5 s from a cold start mixed formation with the join; it is split in two: formation within one comparison, and the same 2.5 s for a new backend server in a formed fleet of 64 instead of 16 nodes.

--- a/disseminator/disseminator.go
+++ b/disseminator/disseminator.go
@@ -1,9 +1,6 @@
 package disseminator
 
-import (
-	"math/bits"
-	"sync"
-)
+import "sync"
 
 // Class tells members and backend servers apart.
 type Class uint8
@@ -26,6 +23,9 @@
 
 // Disseminator queues changed entries, least-sent first. It is safe for concurrent use.
 type Disseminator struct {
+	// limit returns how often an entry is sent beside its push in a fleet of so many nodes.
+	limit func(nodes int) int
+
 	mu sync.Mutex
 	// levels holds the keys by how often they were sent, oldest first. A key whose
 	// count in sent differs from its level is stale and skipped.
@@ -35,20 +35,35 @@
 	fresh []Key
 }
 
-// New returns an empty disseminator.
-func New() *Disseminator {
-	return &Disseminator{sent: make(map[Key]int)}
+// New returns an empty disseminator; limit returns how often an entry is sent
+// beside its push in a fleet of so many nodes.
+func New(limit func(nodes int) int) *Disseminator {
+	return &Disseminator{limit: limit, sent: make(map[Key]int)}
 }
 
-// Add queues an entry that changed, as never sent.
+// Add queues an entry that changed, as never sent and not yet pushed.
 func (d *Disseminator) Add(key Key) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.renew(key) {
+		d.fresh = append(d.fresh, key)
+	}
+}
+
+// AddQuiet queues an entry that changed, as never sent, but does not push it.
+func (d *Disseminator) AddQuiet(key Key) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.renew(key)
+}
+
+// renew puts a key to the lowest level unless it is there.
+func (d *Disseminator) renew(key Key) bool {
 	if count, queued := d.sent[key]; queued && count == 0 {
-		return
+		return false
 	}
 	d.place(key, 0)
-	d.fresh = append(d.fresh, key)
+	return true
 }
 
 // Len returns the number of entries that wait.
@@ -58,11 +73,6 @@
 	return len(d.sent)
 }
 
-// Limit returns how often an entry is sent beside its push in a fleet of so many nodes.
-func Limit(nodes int) int {
-	return bits.Len(uint(nodes))
-}
-
 // Push returns entries that were not pushed yet, oldest first, whose sizes sum up to
 // at most budget bytes. size returns an entry's bytes, or 0 when it no longer exists.
 func (d *Disseminator) Push(budget int, size func(Key) int) []Key {
@@ -99,7 +109,7 @@
 			budget -= size(key)
 		}
 	}
-	d.requeue(taken, Limit(nodes))
+	d.requeue(taken, d.limit(nodes))
 	return taken
 }
 
--- a/disseminator/disseminator_test.go
+++ b/disseminator/disseminator_test.go
@@ -17,7 +17,7 @@
 
 func TestTakeBoundsBytesAndCopies(t *testing.T) {
 	is := is.New(t)
-	d := disseminator.New()
+	d := disseminator.New(func(int) int { return 7 })
 	for i := range 20 {
 		d.Add(key(i))
 	}
@@ -30,13 +30,13 @@
 		}
 	}
 	for i := range 20 {
-		is.Equal(sent[key(i)], disseminator.Limit(64))
+		is.Equal(sent[key(i)], 7)
 	}
 }
 
 func TestTakePrefersLeastSentAndSkipsKnown(t *testing.T) {
 	is := is.New(t)
-	d := disseminator.New()
+	d := disseminator.New(func(int) int { return 7 })
 	d.Add(key(1))
 	is.Equal(d.Take(10, 8, tenBytes), []disseminator.Key{key(1)})
 	d.Add(key(2))
@@ -54,7 +54,7 @@
 
 func TestPushHandsOutEachChangeOnce(t *testing.T) {
 	is := is.New(t)
-	d := disseminator.New()
+	d := disseminator.New(func(int) int { return 7 })
 	d.Add(key(1))
 	d.Add(key(2))
 	is.Equal(d.Push(10, tenBytes), []disseminator.Key{key(1)})
--- a/prober/compare.go
+++ b/prober/compare.go
@@ -78,7 +78,7 @@
 		gossip.Members = append(gossip.Members, translator.MemberToMessage(m))
 	}
 	for _, b := range table.Backends {
-		gossip.Backends = append(gossip.Backends, backendMessage(b))
+		gossip.Backends = append(gossip.Backends, translator.BackendToMessage(b))
 	}
 	return gossip
 }
@@ -191,7 +191,7 @@
 	for _, b := range table.Backends {
 		other, found := theirs.backends[b.ID]
 		if !found || roster.NewerBackend(b, other) {
-			back.Backends = append(back.Backends, backendMessage(b))
+			back.Backends = append(back.Backends, translator.BackendToMessage(b))
 		}
 	}
 }
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -52,12 +52,15 @@
 	return keys
 }
 
-// freshGossip returns what a push to a number of nodes carries.
-func (p *Prober) freshGossip(copies int) *cowsliptallyv1.Gossip {
+// freshGossip returns what a push of an outlet carries.
+func (p *Prober) freshGossip(o *outlet) *cowsliptallyv1.Gossip {
 	take := func(queue *disseminator.Disseminator, budget int, size sizer) []disseminator.Key {
+		if queue != o.queue {
+			return nil
+		}
 		return queue.Push(budget, size)
 	}
-	return p.collect(pushBytes, copies, take)
+	return p.collect(pushBytes, o.fanout, take)
 }
 
 // sizer returns the bytes of an entry, or 0 when it no longer exists.
@@ -84,8 +87,8 @@
 	}
 	gossip := &cowsliptallyv1.Gossip{}
 	total := 0
-	for _, queue := range []*disseminator.Disseminator{p.stops, p.changes} {
-		for _, key := range take(queue, bytes-total, size) {
+	for _, o := range []*outlet{p.stops, p.changes} {
+		for _, key := range take(o.queue, bytes-total, size) {
 			total += size(key)
 			appendTo(gossip, messages[key])
 		}
@@ -128,9 +131,10 @@
 	return translator.MemberToMessage(m)
 }
 
-// backendMessage leaves out what others know already of a backend server that is gone.
+// backendMessage leaves out what others know already of a backend server that takes
+// no more work.
 func backendMessage(b fleet.Backend) *cowsliptallyv1.BackendServer {
-	if b.State == fleet.BackendGone {
+	if !b.TakesWork() {
 		b = fleet.Backend{ID: b.ID, Owner: b.Owner, State: b.State, Sequence: b.Sequence}
 	}
 	return translator.BackendToMessage(b)
@@ -202,12 +206,13 @@
 		p.counters.invalid.Inc(1)
 		return
 	}
+	old, _ := p.roster.Backend(b.ID)
 	changed := p.roster.PutBackend(b)
 	if _, local := p.owner.Backend(b.ID); local || b.Owner == p.node {
 		p.owner.Claim(b)
 	}
 	if changed && spread {
-		p.queueBackend(b)
+		p.queueBackend(b, old.TakesWork())
 	}
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -33,14 +33,11 @@
 	progress        Progress
 	registry        metrics.Registry
 	counters        counters
-	// stops holds the changes that stop new work, changes the others.
-	stops   *disseminator.Disseminator
-	changes *disseminator.Disseminator
-	// budget bounds the bytes of changes, pushes the pushes a second.
+	// stops spreads the changes that stop new work, changes the others.
+	stops   *outlet
+	changes *outlet
+	// budget bounds the bytes of changes a second.
 	budget *rate.Limiter
-	pushes *rate.Limiter
-	// urgent asks for changes to be pushed without waiting for the next probe.
-	urgent chan struct{}
 	// probing bounds the probes that run at a time.
 	probing chan struct{}
 
@@ -76,10 +73,8 @@
 		owner:           noOwner{},
 		progress:        noProgress{},
 		registry:        metrics.NewRegistry(),
-		stops:           disseminator.New(),
-		changes:         disseminator.New(),
-		pushes:          rate.NewLimiter(pushesPerSecond, pushBurst),
-		urgent:          make(chan struct{}, 1),
+		stops:           newOutlet(stopFanout, rate.NewLimiter(stopsPerSecond, stopBurst), stopCopies),
+		changes:         newOutlet(changeFanout, rate.NewLimiter(changesPerSecond, changeBurst), changeCopies),
 		probing:         make(chan struct{}, maxProbing),
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		suspicions:      make(suspicions),
@@ -100,7 +95,7 @@
 func (p *Prober) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		p.runProbes, p.runSuspicions, p.runPushes, p.runComparisons, p.runSeeds, p.runExpiry,
+		p.runProbes, p.runSuspicions, p.runStops, p.runChanges, p.runComparisons, p.runSeeds, p.runExpiry,
 	} {
 		group.Go(func() error { return duty(ctx) })
 	}
@@ -116,37 +111,35 @@
 
 // BackendChanged enters a change of a backend server of this VM and spreads it.
 func (p *Prober) BackendChanged(b fleet.Backend) {
+	old, _ := p.roster.Backend(b.ID)
 	if p.roster.PutBackend(b) {
-		p.queueBackend(b)
+		p.queueBackend(b, old.TakesWork())
 	}
 }
 
-// queueMember spreads a change of a node; one that leaves goes first.
+// queueMember spreads a change of a node; one that leaves or died goes first, and
+// one that refutes a suspicion.
 func (p *Prober) queueMember(m fleet.Member) {
-	queue := p.changes
-	if m.State == fleet.MemberLeft {
-		queue = p.stops
+	key := disseminator.Key{Class: disseminator.ClassMember, ID: string(m.ID)}
+	refuted := m.State == fleet.MemberAlive && m.Incarnation > 1
+	if m.State == fleet.MemberLeft || m.State == fleet.MemberDead || refuted {
+		p.stops.add(key)
+		return
 	}
-	queue.Add(disseminator.Key{Class: disseminator.ClassMember, ID: string(m.ID)})
-	p.hurry()
+	p.changes.add(key)
 }
 
 // queueBackend spreads a change of a backend server; one that takes no more work
-// goes first.
-func (p *Prober) queueBackend(b fleet.Backend) {
-	queue := p.changes
-	if !b.TakesWork() {
-		queue = p.stops
-	}
-	queue.Add(disseminator.Key{Class: disseminator.ClassBackend, ID: string(b.ID)})
-	p.hurry()
-}
-
-// hurry asks for a push.
-func (p *Prober) hurry() {
-	select {
-	case p.urgent <- struct{}{}:
+// goes first, unless it took none before.
+func (p *Prober) queueBackend(b fleet.Backend, tookWork bool) {
+	key := disseminator.Key{Class: disseminator.ClassBackend, ID: string(b.ID)}
+	switch {
+	case b.TakesWork():
+		p.changes.add(key)
+	case tookWork:
+		p.stops.add(key)
 	default:
+		p.changes.queue.AddQuiet(key)
 	}
 }
 
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -18,18 +18,31 @@
 
 const ready = cowsliptallyv1.BackendState_BACKEND_STATE_READY
 
-func TestFleetFormsAndSpreadsBackends(t *testing.T) {
+func TestFleetForms(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newNetwork()
 		defer w.stopAll()
 		nodes := w.fleetOf(16)
+		time.Sleep(20 * time.Second) // includes one comparison of tables
+		equalTables(t, nodes)
+		for _, n := range nodes {
+			is.Equal(len(n.roster.Members()), 16)
+		}
+	})
+}
+
+func TestNewBackendIsKnownEverywhereWithin2500Milliseconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(64)
+		time.Sleep(20 * time.Second)
 		is.NoErr(nodes[3].announce("b1", "ledger", ready))
 		time.Sleep(2500 * time.Millisecond)
 		is.NoErr(nodes[3].announce("b1", "ledger", ready))
-		equalTables(t, nodes)
 		for _, n := range nodes {
-			is.Equal(len(n.roster.Members()), 16)
 			is.Equal(len(n.roster.Backends("ledger")), 1)
 		}
 	})
--- a/prober/push.go
+++ b/prober/push.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"cowsliptally.example/cowsliptally/fault"
 	"cowsliptally.example/cowsliptally/fleet"
@@ -11,32 +10,28 @@
 	"cowsliptally.example/cowsliptally/translator"
 )
 
-const (
-	// pushFanout is the number of nodes that each node tells of an urgent change at once.
-	pushFanout = 4
-	// pushDelay gathers urgent changes into one push.
-	pushDelay = 50 * time.Millisecond
-	// pushesPerSecond and pushBurst bound the pushes of one node.
-	pushesPerSecond = 2
-	pushBurst       = 8
-)
+// runStops pushes the changes that stop new work.
+func (p *Prober) runStops(ctx context.Context) error { return p.runOutlet(ctx, p.stops) }
+
+// runChanges pushes the other changes.
+func (p *Prober) runChanges(ctx context.Context) error { return p.runOutlet(ctx, p.changes) }
 
-// runPushes tells a few nodes of urgent changes at once; each does so in turn.
-func (p *Prober) runPushes(ctx context.Context) error {
+// runOutlet tells a few nodes of new changes; each does so in turn.
+func (p *Prober) runOutlet(ctx context.Context, o *outlet) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-p.urgent:
+		case <-o.wake:
 		}
-		wait := p.pushes.ReserveN(p.clock.Now(), 1).DelayFrom(p.clock.Now())
+		wait := o.pushes.ReserveN(p.clock.Now(), 1).DelayFrom(p.clock.Now())
 		if !p.sleep(ctx, max(wait, pushDelay)) {
 			return ctx.Err()
 		}
-		if gossip := p.freshGossip(pushFanout); entryCount(gossip) > 0 {
+		if gossip := p.freshGossip(o); entryCount(gossip) > 0 {
 			p.counters.pushes.Inc(1)
-			p.push(ctx, gossip)
-			p.hurry()
+			p.push(ctx, gossip, o.fanout)
+			o.hurry()
 		}
 	}
 }
@@ -48,9 +43,9 @@
 
 // push sends changes to a few nodes and returns how many took them. A node that
 // fails is replaced by another once.
-func (p *Prober) push(ctx context.Context, gossip *cowsliptallyv1.Gossip) int {
-	chosen := p.choose(2*pushFanout, func(m fleet.Member) bool { return m.State == fleet.MemberAlive })
-	first := min(pushFanout, len(chosen))
+func (p *Prober) push(ctx context.Context, gossip *cowsliptallyv1.Gossip, fanout int) int {
+	chosen := p.choose(2*fanout, func(m fleet.Member) bool { return m.State == fleet.MemberAlive })
+	first := min(fanout, len(chosen))
 	taken := p.pushTo(ctx, chosen[:first], gossip)
 	if missing := first - taken; missing > 0 {
 		spare := chosen[first:]
@@ -100,9 +95,9 @@
 	if len(p.peers()) == 0 {
 		return nil
 	}
-	gossip := p.freshGossip(pushFanout)
+	gossip := p.freshGossip(p.stops)
 	for range leaveAttempts {
-		if p.push(ctx, gossip) > 0 {
+		if p.push(ctx, gossip, stopFanout) > 0 {
 			return nil
 		}
 	}
--- a/roster/put.go
+++ b/roster/put.go
@@ -43,6 +43,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i := r.find(string(b.ID))
+	if i == none && b.Service == "" && b.State != fleet.BackendGone {
+		return false
+	}
 	if i != none {
 		old := r.backend(i)
 		if !NewerBackend(b, old) {
@@ -117,9 +120,10 @@
 	r.free = append(r.free, i)
 }
 
-// complete fills in what the short form of a backend server that is gone leaves out.
+// complete fills in what the short form of a backend server that takes no more
+// work leaves out.
 func complete(b, old fleet.Backend) fleet.Backend {
-	if b.State != fleet.BackendGone || b.Service != "" {
+	if b.TakesWork() || b.Service != "" {
 		return b
 	}
 	b.Service, b.Zone, b.Address, b.Slots = old.Service, old.Zone, old.Address, old.Slots
--- /dev/null
+++ b/slopes/appends.go
@@ -0,0 +1,3 @@
+package main
+
+func measureAppends(arguments) ([]measurement, error) { return nil, nil }
--- /dev/null
+++ b/slopes/measurement.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// measurement is a cost at several sizes.
+type measurement struct {
+	// name says what costs, such as "roster"; per is what the size counts.
+	name, per string
+	// unit is the unit of the values.
+	unit   string
+	sizes  []float64
+	values []float64
+}
+
+// add appends one point.
+func (m *measurement) add(size, value float64) {
+	m.sizes = append(m.sizes, size)
+	m.values = append(m.values, value)
+}
+
+// line is a straight line fitted to a measurement.
+type line struct {
+	slope, intercept float64
+	// slopeError is the standard error of the slope.
+	slopeError float64
+	// bend is the slope over the upper half of the sizes against that over the lower
+	// half; 1 is straight.
+	bend float64
+}
+
+// fit returns the least-squares line.
+func (m measurement) fit() line {
+	intercept, slope := stat.LinearRegression(m.sizes, m.values, nil, false)
+	mean := stat.Mean(m.sizes, nil)
+	var residuals, spread float64
+	for i, size := range m.sizes {
+		residual := m.values[i] - intercept - slope*size
+		residuals += residual * residual
+		spread += (size - mean) * (size - mean)
+	}
+	freedom := float64(len(m.sizes) - 2)
+	middle := len(m.sizes) / 2
+	return line{
+		slope:      slope,
+		intercept:  intercept,
+		slopeError: math.Sqrt(residuals / freedom / spread),
+		bend:       m.rise(middle, len(m.sizes)-1) / m.rise(0, middle),
+	}
+}
+
+// rise returns the slope between two points.
+func (m measurement) rise(from, to int) float64 {
+	return (m.values[to] - m.values[from]) / (m.sizes[to] - m.sizes[from])
+}
--- /dev/null
+++ b/slopes/peers.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// formTimeout bounds how long a fleet takes to form.
+	formTimeout = 60 * time.Second
+	// settleTime lets changes of the start die down.
+	settleTime = 8 * time.Second
+	// churnInterval is the time between two changes of a fleet under change.
+	churnInterval = time.Second
+	leaveRuns     = 20
+	leavePoll     = time.Millisecond
+	leaveTimeout  = 10 * time.Second
+)
+
+// peerCosts are the measurements of running fleets.
+type peerCosts struct {
+	restBytes, restTime, churnBytes, churnTime measurement
+	half, most, last                           measurement
+}
+
+// measurePeers measures what membership costs a node in fleets of several sizes,
+// at rest and with one backend server replaced each second, and how long a leave
+// takes until it is known everywhere.
+func measurePeers(set arguments) ([]measurement, error) {
+	costs := peerCosts{
+		restBytes:  measurement{name: "membership at rest, sent", per: "node of the fleet", unit: "B/s"},
+		restTime:   measurement{name: "membership at rest, processor", per: "node of the fleet", unit: "µs/s"},
+		churnBytes: measurement{name: "one replacement a second, sent", per: "node of the fleet", unit: "B/s"},
+		churnTime:  measurement{name: "one replacement a second, processor", per: "node of the fleet", unit: "µs/s"},
+		half:       measurement{name: "leave known, p50", per: "node of the fleet", unit: "ms"},
+		most:       measurement{name: "leave known, p99", per: "node of the fleet", unit: "ms"},
+		last:       measurement{name: "leave known, max", per: "node of the fleet", unit: "ms"},
+	}
+	for _, n := range []int{8, 16, 32, 64} {
+		if err := costs.measure(n, set.Span); err != nil {
+			return nil, err
+		}
+	}
+	return []measurement{
+		costs.restBytes, costs.restTime, costs.churnBytes, costs.churnTime, costs.half, costs.most, costs.last,
+	}, nil
+}
+
+func (c *peerCosts) measure(n int, span time.Duration) error {
+	f, err := startPeers(n)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err := f.await(formTimeout, "every node knows every other", f.formed); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	f.rate(&c.restBytes, &c.restTime, span, nil)
+	if err := c.measureLeaves(f); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	life := leaveRuns
+	f.rate(&c.churnBytes, &c.churnTime, span, func() {
+		node := f.peers[life%n]
+		_ = node.leave(sampleID(life%n, life-1))
+		_ = node.announce(sampleID(life%n, life), "ledger")
+		life++
+	})
+	return nil
+}
+
+// rate measures bytes and processor time a second and node; change runs each
+// churnInterval.
+func (f *peerFleet) rate(bytes, processor *measurement, span time.Duration, change func()) {
+	nodes, seconds := float64(len(f.peers)), span.Seconds()
+	bytesBefore, timeBefore := f.bytes.Load(), processorTime()
+	for start := time.Now(); time.Since(start) < span; time.Sleep(churnInterval) {
+		if change != nil {
+			change()
+		}
+	}
+	bytes.add(nodes, float64(f.bytes.Load()-bytesBefore)/nodes/seconds)
+	used := processorTime() - timeBefore
+	processor.add(nodes, float64(used.Microseconds())/nodes/seconds)
+}
+
+// measureLeaves lets backend servers leave and notes when each node knows.
+func (c *peerCosts) measureLeaves(f *peerFleet) error {
+	var delays []float64
+	for run := range leaveRuns {
+		node := f.peers[run%len(f.peers)]
+		id := sampleID(run%len(f.peers), run)
+		if err := node.announce(id, "ledger"); err != nil {
+			return err
+		}
+		known := func() bool { return f.count(id, fleet.Backend.TakesWork) == len(f.peers) }
+		if err := f.await(leaveTimeout, "a backend server is known everywhere", known); err != nil {
+			return err
+		}
+		if err := node.leave(id); err != nil {
+			return err
+		}
+		found, err := f.leaveDelays(id)
+		if err != nil {
+			return err
+		}
+		delays = append(delays, found...)
+	}
+	slices.Sort(delays)
+	nodes := float64(len(f.peers))
+	c.half.add(nodes, delays[len(delays)/2])
+	c.most.add(nodes, delays[len(delays)*99/100])
+	c.last.add(nodes, delays[len(delays)-1])
+	return nil
+}
+
+// leaveDelays returns the milliseconds until each node knows that a backend server
+// takes no more work.
+func (f *peerFleet) leaveDelays(id fleet.BackendID) ([]float64, error) {
+	var delays []float64
+	start := time.Now()
+	missing := slices.Clone(f.peers)
+	for len(missing) > 0 {
+		if time.Since(start) > leaveTimeout {
+			return nil, fmt.Errorf("%d nodes do not know after %s that %q left", len(missing), leaveTimeout, id)
+		}
+		missing = slices.DeleteFunc(missing, func(p *peer) bool {
+			b, _ := p.roster.Backend(id)
+			if b.TakesWork() {
+				return false
+			}
+			delays = append(delays, float64(time.Since(start).Microseconds())/1000)
+			return true
+		})
+		time.Sleep(leavePoll)
+	}
+	return delays, nil
+}
+
+// count returns the number of nodes that see a backend server as wanted.
+func (f *peerFleet) count(id fleet.BackendID, wanted func(fleet.Backend) bool) int {
+	count := 0
+	for _, p := range f.peers {
+		if b, found := p.roster.Backend(id); found && wanted(b) {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *peerFleet) formed() bool {
+	for _, p := range f.peers {
+		if members, _ := p.roster.Size(); members < len(f.peers) {
+			return false
+		}
+	}
+	return true
+}
+
+// await polls until a condition holds.
+func (f *peerFleet) await(timeout time.Duration, what string, holds func() bool) error {
+	for start := time.Now(); !holds(); time.Sleep(leavePoll) {
+		if time.Since(start) > timeout {
+			return fmt.Errorf("not within %s: %s", timeout, what)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/slopes/request.go
@@ -0,0 +1,3 @@
+package main
+
+func measureRequests(arguments) ([]measurement, error) { return nil, nil }
