--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -151,13 +151,16 @@
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
 	found := f.find(ctx, s)
 	defer found.close()
+	if s.mayHaveRun && found.outcome.Executed == fleet.ExecutedNo {
+		// The proof is for the last attempt only.
+		found.outcome.Executed = fleet.ExecutedUnknown
+	}
 	if found.answered() {
 		f.answer(w, s, found)
 		return
 	}
 	if found.outcome.Executed == fleet.ExecutedNo {
-		f.endTrial(s)
-		f.release(s)
+		f.giveBack(s)
 	}
 	f.refuse(w, s, found)
 }
