--- a/slopes/measurement.go
+++ b/slopes/measurement.go
@@ -28,7 +28,7 @@
 	// slopeError is the standard error of the slope.
 	slopeError float64
 	// bend is the slope over the upper half of the sizes against that over the lower
-	// half; 1 is straight.
+	// half; 1 is straight, and also stands for a flat line.
 	bend float64
 }
 
@@ -43,13 +43,22 @@
 		spread += (size - mean) * (size - mean)
 	}
 	freedom := float64(len(m.sizes) - 2)
-	middle := len(m.sizes) / 2
 	return line{
 		slope:      slope,
 		intercept:  intercept,
 		slopeError: math.Sqrt(residuals / freedom / spread),
-		bend:       m.rise(middle, len(m.sizes)-1) / m.rise(0, middle),
+		bend:       m.bend(),
+	}
+}
+
+// bend compares the slopes over the upper and the lower half of the sizes.
+func (m measurement) bend() float64 {
+	middle := len(m.sizes) / 2
+	lower, upper := m.rise(0, middle), m.rise(middle, len(m.sizes)-1)
+	if lower == upper {
+		return 1
 	}
+	return upper / lower
 }
 
 // rise returns the slope between two points.
