Add the failure tests on real processes

Cause: the promises have to hold for separate processes, not for parts alone. Ruled out on the way: opaque idempotency keys in the load (the guard rightly answers unknown for them while its membership is young); the silence fault cut its own answer.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -14,9 +14,16 @@
 type Checker struct {
 	// killed holds when nodes were killed without notice, by caller address.
 	killed map[string]time.Time
+	// frozen holds when nodes could not run, by caller address.
+	frozen map[string][]interval
 	direct []caller.Record
 }
 
+// interval is a time from and until which something lasted.
+type interval struct {
+	from, until time.Time
+}
+
 // Option changes a setting of a checker.
 type Option func(*Checker)
 
@@ -27,6 +34,12 @@
 	return func(c *Checker) { c.killed[node] = at }
 }
 
+// WithFrozen names a node that could not run for a time. Requests that it held
+// meanwhile may end in silence, which no node can prevent; they count as unknown.
+func WithFrozen(node string, from, until time.Time) Option {
+	return func(c *Checker) { c.frozen[node] = append(c.frozen[node], interval{from, until}) }
+}
+
 // WithDirect gives records of requests that went to backend servers directly,
 // whose times outside the slots are taken off the reported ones.
 func WithDirect(records []caller.Record) Option {
@@ -35,7 +48,7 @@
 
 // New returns a checker.
 func New(options ...Option) *Checker {
-	c := &Checker{killed: map[string]time.Time{}}
+	c := &Checker{killed: map[string]time.Time{}, frozen: map[string][]interval{}}
 	for _, option := range options {
 		option(c)
 	}
@@ -95,8 +108,7 @@
 
 // countSilence enters a request whose caller was told nothing.
 func (c *Checker) countSilence(report *Report, record caller.Record) {
-	killed, found := c.killed[record.Node]
-	if found && record.Result == caller.ResultBroken && !record.Sent.After(killed) {
+	if c.severed(record) {
 		report.Unknown++
 		report.Severed++
 		return
@@ -105,6 +117,21 @@
 		record.Node, record.Took.Round(time.Millisecond), record.Result, record.Status, record.Reason)
 }
 
+// severed reports whether a request's node was killed or frozen while it held it.
+func (c *Checker) severed(record caller.Record) bool {
+	killed, found := c.killed[record.Node]
+	if found && record.Result == caller.ResultBroken && !record.Sent.After(killed) {
+		return true
+	}
+	ended := record.Sent.Add(record.Took)
+	for _, pause := range c.frozen[record.Node] {
+		if record.Sent.Before(pause.until) && ended.After(pause.from) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkTwice looks for non-idempotent requests and keys that ran more than once.
 func checkTwice(report *Report, records []caller.Record, entries []server.Entry, ledger map[fleet.RequestID]runs) {
 	keys := map[string]int{}
--- a/harness/address.go
+++ b/harness/address.go
@@ -11,6 +11,7 @@
 	peerPort    = 7002
 	backendPort = 7003
 	logPort     = 7004
+	relayPort   = 7005
 	// networkTries is how many loopback networks are tried for a free one.
 	networkTries = 50
 )
--- a/harness/harness.go
+++ b/harness/harness.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/launcher"
+	"cowsliptally.example/cowsliptally/relay"
 	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
@@ -32,6 +35,10 @@
 	client    *http.Client
 	log       *launcher.Process
 	nodeFlags []string
+	relayed   bool
+	// relays ends with the harness.
+	relays     context.Context
+	stopRelays context.CancelFunc
 
 	mu      sync.Mutex
 	vms     []*VM
@@ -46,6 +53,9 @@
 	return func(h *Harness) { h.nodeFlags = append(h.nodeFlags, flags...) }
 }
 
+// WithRelays puts a relay before each node, through which the others reach it.
+func WithRelays() Option { return func(h *Harness) { h.relayed = true } }
+
 // New returns a harness that takes programs from binaries and writes logs and
 // ledgers to directory.
 func New(binaries, directory string, options ...Option) (*Harness, error) {
@@ -55,8 +65,11 @@
 	}
 	h := &Harness{
 		binaries: binaries, directory: directory, network: picked,
-		launcher: launcher.New(directory), client: &http.Client{Timeout: callTimeout}, numbers: 1,
+		launcher: launcher.New(directory), numbers: 1,
+		// A connection of its own for each call: faults silence those that are kept.
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	h.relays, h.stopRelays = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(h)
 	}
@@ -64,7 +77,10 @@
 }
 
 // Stop ends every process; an error tells of those that had to be killed.
-func (h *Harness) Stop() error { return h.launcher.Stop() }
+func (h *Harness) Stop() error {
+	defer h.stopRelays()
+	return h.launcher.Stop()
+}
 
 // Running returns the names of the processes that still run.
 func (h *Harness) Running() []string { return h.launcher.Running() }
@@ -90,6 +106,9 @@
 // StartVM starts a node and the backend server beside it.
 func (h *Harness) StartVM(service fleet.ServiceName, zone fleet.Zone, backendFlags ...string) (*VM, error) {
 	vm := h.reserve(service, zone)
+	if err := h.startRelay(vm); err != nil {
+		return nil, err
+	}
 	node, err := h.launcher.Start(vm.NodeName(), h.program("cowsliptally"), h.nodeArguments(vm)...)
 	if err != nil {
 		return nil, err
@@ -139,18 +158,38 @@
 	defer h.mu.Unlock()
 	h.numbers++
 	number := h.numbers
-	return &VM{
+	vm := &VM{
 		Name: fmt.Sprintf("%s-%d", service, number), Service: service, Zone: zone, Number: number,
 		CallerAddress:  h.network.address(number, callerPort),
 		PeerAddress:    h.network.address(number, peerPort),
 		BackendAddress: h.network.address(number, backendPort),
 	}
+	vm.AdvertisedAddress = vm.PeerAddress
+	if h.relayed {
+		vm.AdvertisedAddress = h.network.address(number, relayPort)
+	}
+	return vm
+}
+
+// startRelay starts the relay before a VM's node, if there are to be any.
+func (h *Harness) startRelay(vm *VM) error {
+	if !h.relayed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", vm.AdvertisedAddress)
+	if err != nil {
+		return err
+	}
+	vm.Relay = relay.New(vm.PeerAddress)
+	go func() { _ = vm.Relay.Serve(h.relays, listener) }()
+	return nil
 }
 
 func (h *Harness) nodeArguments(vm *VM) []string {
 	arguments := []string{
 		"node", "--name", vm.NodeName(), "--caller-address", vm.CallerAddress,
 		"--peer-address", vm.PeerAddress, "--zone", string(vm.Zone), "--region", region,
+		"--advertised-peer-address", vm.AdvertisedAddress,
 		"--log", "http://" + h.logAddress(),
 	}
 	if peers := h.peers(); len(peers) > 0 {
@@ -164,7 +203,7 @@
 	var addresses []string
 	for _, vm := range h.VMs() {
 		if !vm.Node.HasEnded() && len(addresses) < seedPeers {
-			addresses = append(addresses, vm.PeerAddress)
+			addresses = append(addresses, vm.AdvertisedAddress)
 		}
 	}
 	return addresses
--- a/harness/vm.go
+++ b/harness/vm.go
@@ -5,6 +5,7 @@
 
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/launcher"
+	"cowsliptally.example/cowsliptally/relay"
 )
 
 // VM is one machine: a node and the backend server beside it.
@@ -20,6 +21,10 @@
 	CallerAddress  string
 	PeerAddress    string
 	BackendAddress string
+	// Relay passes on what other nodes send to this one; nil without relays.
+	Relay *relay.Relay
+	// AdvertisedAddress is where other nodes reach this one.
+	AdvertisedAddress string
 }
 
 // BackendID returns the identifier of the backend server.
--- /dev/null
+++ b/proof/fixture_test.go
@@ -0,0 +1,172 @@
+package proof
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/caller"
+	"cowsliptally.example/cowsliptally/checker"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/harness"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
+	"cowsliptally.example/cowsliptally/translator"
+)
+
+const (
+	service      fleet.ServiceName = "ledger"
+	servers                        = 5
+	floorSlots                     = 8
+	rate                           = 150
+	readyTimeout                   = 30 * time.Second
+	settleTime                     = time.Second
+	endTimeout                     = 20 * time.Second
+)
+
+var (
+	history = caller.Kind{Name: "history", Method: http.MethodGet, Path: "/history", Share: 2, Idempotent: true, AnswerSize: 4 << 10, Timeout: time.Second}
+	refund  = caller.Kind{Name: "refund", Method: http.MethodPost, Path: "/refunds", Share: 1, Size: 256, Timeout: time.Second}
+	zones   = []fleet.Zone{"suwon", "yongin", "hwaseong"}
+)
+
+// fixture is a fleet of one service under load.
+type fixture struct {
+	t       *testing.T
+	is      *is.I
+	harness *harness.Harness
+	caller  *caller.Caller
+
+	mu sync.Mutex
+	// excused says which nodes were killed or stopped from speaking, and when.
+	excused []checker.Option
+}
+
+// start brings up a fleet and its configuration.
+func start(t *testing.T, options ...harness.Option) *fixture {
+	t.Helper()
+	is := is.New(t)
+	directory := t.TempDir()
+	h, err := harness.New(binaries, directory, options...)
+	is.NoErr(err)
+	f := &fixture{t: t, is: is, harness: h}
+	t.Cleanup(func() {
+		if err := h.Stop(); err != nil {
+			t.Error(err)
+		}
+		if t.Failed() {
+			keepLogs(t, directory)
+		}
+	})
+	is.NoErr(h.StartLog())
+	for i := range servers {
+		_, err := h.StartVM(service, zones[i%len(zones)])
+		is.NoErr(err)
+	}
+	f.configure()
+	is.NoErr(h.AwaitReady(1, servers, readyTimeout))
+	f.caller = caller.New(h.CallerAddresses(), []caller.Kind{history, refund}, caller.WithSeed(*seed))
+	t.Logf("seed %d", *seed)
+	return f
+}
+
+func (f *fixture) vm(i int) *harness.VM { return f.harness.VMs()[i] }
+
+// configure creates the service with its routes.
+func (f *fixture) configure() {
+	f.t.Helper()
+	err := f.harness.Await("the configuration is accepted", readyTimeout, func() bool {
+		verdict, err := f.harness.Propose(context.Background(), f.vm(0), f.putService(floorSlots), putRoute(history), putRoute(refund))
+		return err == nil && verdict.GetRefusal() == ""
+	})
+	f.is.NoErr(err)
+}
+
+func (f *fixture) putService(floor int) *cowsliptallyv1.Change {
+	created := fleet.Service{Name: service, MinHealthySlots: floor, Rule: fleet.NewRule(fleet.LeanDetect)}
+	return &cowsliptallyv1.Change{Edit: &cowsliptallyv1.Change_PutService{PutService: translator.ServiceToMessage(created)}}
+}
+
+func putRoute(kind caller.Kind) *cowsliptallyv1.Change {
+	route := fleet.Route{
+		Name: string(kind.Name), Service: service, Method: kind.Method, PathPrefix: kind.Path,
+		Kind: kind.Name, Weight: 1, Idempotent: kind.Idempotent, Timeout: kind.Timeout,
+	}
+	return &cowsliptallyv1.Change{Edit: &cowsliptallyv1.Change_PutRoute{PutRoute: translator.RouteToMessage(route)}}
+}
+
+// load sends requests while the steps run, and until all that is due was told.
+func (f *fixture) load(steps func()) {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		f.caller.Run(ctx, rate)
+	}()
+	steps()
+	cancel()
+	<-loaded
+	time.Sleep(settleTime)
+}
+
+// faults sets the faults of a VM's backend server.
+func (f *fixture) faults(vm *harness.VM, faults server.Faults) {
+	f.t.Helper()
+	f.is.NoErr(f.harness.SetFaults(vm, faults))
+}
+
+// killVM ends a VM without notice.
+func (f *fixture) killVM(vm *harness.VM) {
+	f.excuse(checker.WithKilled(vm.CallerAddress, time.Now()))
+	vm.Kill()
+}
+
+// freeze keeps a node from running for a while.
+func (f *fixture) freeze(vm *harness.VM, duration time.Duration) {
+	from := time.Now()
+	vm.Node.Freeze()
+	time.Sleep(duration)
+	vm.Node.Thaw()
+	f.excuse(checker.WithFrozen(vm.CallerAddress, from, time.Now()))
+}
+
+func (f *fixture) excuse(option checker.Option) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.excused = append(f.excused, option)
+}
+
+// check ends the fleet and fails the test for each broken promise.
+func (f *fixture) check() checker.Report {
+	f.t.Helper()
+	f.is.NoErr(f.harness.Stop())
+	entries, err := f.harness.Entries()
+	f.is.NoErr(err)
+	report := checker.New(f.excused...).Check(f.caller.Records(), entries)
+	f.t.Log(report)
+	for _, reason := range f.caller.Reasons() {
+		f.t.Log(reason)
+	}
+	for _, finding := range report.Findings {
+		f.t.Error(finding)
+	}
+	f.is.True(report.Answered > report.Sent/2) // most requests are answered whatever fails
+	return report
+}
+
+// keepLogs moves the logs of a failed test to where it can be read.
+func keepLogs(t *testing.T, directory string) {
+	kept := os.Getenv("COWSLIPTALLY_PROOF_KEEP")
+	if kept == "" {
+		return
+	}
+	if err := os.CopyFS(kept+"/"+t.Name(), os.DirFS(directory)); err != nil {
+		t.Log(err)
+	}
+}
--- /dev/null
+++ b/proof/membership_test.go
@@ -0,0 +1,75 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"cowsliptally.example/cowsliptally/harness"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
+)
+
+// leaveBound is the time after which a leaving backend server must get no new work.
+const leaveBound = 2 * time.Second
+
+// Every VM is replaced by a fresh one, with the log service down.
+func TestReplacementOfEverything(t *testing.T) {
+	f := start(t)
+	f.load(func() {
+		time.Sleep(second)
+		f.is.NoErr(f.harness.SetLogFaults(harness.LogFaults{Down: true}))
+		for _, old := range f.harness.VMs() {
+			fresh, err := f.harness.StartVM(service, old.Zone)
+			f.is.NoErr(err)
+			f.is.NoErr(f.harness.AwaitConfigured(fresh, readyTimeout))
+			f.is.NoErr(f.harness.AwaitReady(1, servers+1, readyTimeout))
+			f.caller.SetNodes(callersWithout(f.harness, old))
+			f.is.NoErr(old.Retire(endTimeout))
+			f.is.NoErr(f.harness.AwaitReady(1, servers, readyTimeout))
+		}
+		f.is.NoErr(f.harness.SetLogFaults(harness.LogFaults{}))
+		time.Sleep(second)
+	})
+	report := f.check()
+	f.is.Equal(report.Severed, 0) // a graceful end breaks no connection
+}
+
+// callersWithout returns the caller addresses of all running nodes but one.
+func callersWithout(h *harness.Harness, left *harness.VM) []string {
+	var addresses []string
+	for _, address := range h.CallerAddresses() {
+		if address != left.CallerAddress {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// A backend server that leaves finishes what runs and gets nothing new.
+func TestDrain(t *testing.T) {
+	f := start(t)
+	f.load(func() {
+		time.Sleep(second)
+		f.faults(f.vm(0), server.Faults{Slow: 20, Lie: true}) // so that work is in flight
+		f.is.NoErr(f.harness.Drain(f.vm(0)))
+		time.Sleep(leaveBound)
+		after := f.starts(f.vm(0))
+		f.is.NoErr(f.vm(1).Backend.Terminate(endTimeout))
+		time.Sleep(2 * second)
+		f.is.Equal(f.starts(f.vm(0)), after)
+	})
+	f.check()
+}
+
+// starts counts the runs that a backend server began.
+func (f *fixture) starts(vm *harness.VM) int {
+	f.t.Helper()
+	entries, err := f.harness.Entries()
+	f.is.NoErr(err)
+	starts := 0
+	for _, entry := range entries {
+		if entry.Backend == string(vm.BackendID()) {
+			starts += entry.Starts
+		}
+	}
+	return starts
+}
--- a/standin/backend/server/control.go
+++ b/standin/backend/server/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 )
 
@@ -32,7 +33,8 @@
 		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.SetFaults(faults)
+	asking, _ := r.Context().Value(connKey{}).(net.Conn)
+	s.setFaults(faults, asking)
 	writeJSON(w, faults)
 }
 
--- a/standin/backend/server/server.go
+++ b/standin/backend/server/server.go
@@ -65,12 +65,15 @@
 func (s *Server) Ledger() *Ledger { return s.ledger }
 
 // SetFaults replaces the faults.
-func (s *Server) SetFaults(faults Faults) {
+func (s *Server) SetFaults(faults Faults) { s.setFaults(faults, nil) }
+
+// setFaults replaces the faults; silence spares the connection that asked for it.
+func (s *Server) setFaults(faults Faults, asking net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
 	if faults.Silent && s.conns != nil {
-		s.conns.Silence()
+		s.conns.silence(asking)
 	}
 }
 
@@ -100,7 +103,7 @@
 	s.mu.Lock()
 	s.conns = conns
 	s.mu.Unlock()
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: drainTimeout}
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: drainTimeout, ConnContext: withConn}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(conns) }()
 	announced := make(chan struct{})
--- a/standin/backend/server/silencer.go
+++ b/standin/backend/server/silencer.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -51,14 +52,22 @@
 	delete(s.conns, conn)
 }
 
-// Silence makes all open connections silent and returns their number.
-func (s *silencer) Silence() int {
+// silence makes all open connections silent but one.
+func (s *silencer) silence(spared net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.conns {
-		conn.silent.Store(true)
+		if net.Conn(conn) != spared {
+			conn.silent.Store(true)
+		}
 	}
-	return len(s.conns)
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // silentConn drops what is read and written once it is silent.
