--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -123,8 +123,8 @@
 
 // killVM ends a VM without notice.
 func (f *fixture) killVM(vm *harness.VM) {
-	f.excuse(checker.WithKilled(vm.CallerAddress, time.Now()))
 	vm.Kill()
+	f.excuse(checker.WithKilled(vm.CallerAddress, time.Now()))
 }
 
 // freeze keeps a node from running for a while.
