Let a leaving node serve on while callers move away

New requests were refused at once, which moved nobody away. Ruled out: refusing longer (callers would still see errors), and SetKeepAlivesEnabled(false), which closes idle connections at once as well. Before: connections closed under callers at SIGTERM. Conclusion: what remains is a caller that first uses a connection, idle for the whole linger time, in the very moment of its end; HTTP/1.1 leaves that to it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
@@ -45,6 +46,8 @@
 	clock  clockwork.Clock
 	logger *log.Logger
 	client *http.Client
+	// leaving is set once the node shuts down.
+	leaving atomic.Bool
 
 	journal      *journal.Journal
 	keeper       *keeper.Keeper
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -95,6 +95,7 @@
 
 func (d *Daemon) callerRouter() http.Handler {
 	router := chi.NewRouter()
+	router.Use(d.closeWhenLeaving)
 	router.Handle("/*", d.forwarder)
 	return router
 }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -3,22 +3,46 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 )
 
-// shutdown stops new work, tells the fleet and waits for requests in flight.
+// shutdown drains the backend servers, tells the fleet, moves callers to other
+// nodes and waits for requests in flight.
 func (d *Daemon) shutdown(s *servers) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Shutdown)
 	defer cancel()
+	d.leaving.Store(true)
 	d.registrar.DrainAll()
-	d.forwarder.Drain()
 	d.dispatcher.Drain()
 	leaveErr := d.prober.Leave(ctx)
 	if leaveErr != nil {
 		d.logger.Warn("leave", "node", d.self.ID, "err", leaveErr)
 	}
+	d.linger(ctx)
 	err := errors.Join(d.forwarder.Shutdown(ctx), d.dispatcher.Shutdown(ctx), s.close(ctx))
 	if err == nil {
 		return nil
 	}
 	return &Error{Operation: "finish requests in flight", Kind: KindShutdown, Err: err}
 }
+
+// linger serves callers a while longer. Each answer closes its connection, so
+// that no caller sends a request over a connection that is about to be closed.
+func (d *Daemon) linger(ctx context.Context) {
+	timer := d.clock.NewTimer(d.set.Linger)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.Chan():
+	}
+}
+
+// closeWhenLeaving makes answers close their connections once the node leaves.
+func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/settings/node.go
+++ b/settings/node.go
@@ -33,6 +33,7 @@
 	MaxBody               int64         `help:"Largest request body, in bytes; a larger one is refused with 413." default:"8388608"`
 	MaxAnswer             int64         `help:"Largest answer that is held until it is whole, in bytes; a larger one is streamed." default:"4194304"`
 	Memory                int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
+	Linger                time.Duration `help:"Time after SIGTERM during which new requests are still taken, so that callers move to other nodes." default:"2s"`
 	Shutdown              time.Duration `help:"Longest wait for requests in flight after SIGTERM." default:"30s"`
 }
 
@@ -52,6 +53,7 @@
 		func() error { return checkBytes("--max-body", n.MaxBody, 1) },
 		func() error { return checkBytes("--max-answer", n.MaxAnswer, 1) },
 		func() error { return checkBytes("--memory", n.Memory, minMemoryBytes) },
+		func() error { return checkPositive("--linger", n.Linger) },
 		func() error { return checkPositive("--shutdown", n.Shutdown) },
 		n.checkDistinct,
 	}
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -12,7 +12,7 @@
 	return Node{
 		Name: "a", CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", Zone: "suwon",
 		Region: "gyeonggi", Peers: []string{"127.0.0.1:8003"}, Log: "http://127.0.0.1:7000",
-		Checkpoint: time.Hour, Timeout: time.Second, MaxBody: 1, MaxAnswer: 1, Memory: minMemoryBytes, Shutdown: time.Second,
+		Checkpoint: time.Hour, Timeout: time.Second, MaxBody: 1, MaxAnswer: 1, Memory: minMemoryBytes, Linger: time.Second, Shutdown: time.Second,
 	}
 }
 
