--- a/reconciler/reconciler.go
+++ b/reconciler/reconciler.go
@@ -78,6 +78,7 @@
 	state := r.keeper.State()
 	members := r.members()
 	records := r.missing()
+	own := len(records)
 	records = append(records, r.leaves(now, state, members)...)
 	if len(records) == 0 {
 		r.notBefore = time.Time{}
@@ -89,21 +90,25 @@
 	if now.Before(r.notBefore) {
 		return
 	}
-	r.append(ctx, records[:min(len(records), maxRecords)])
+	records = records[:min(len(records), maxRecords)]
+	if r.append(ctx, records) {
+		r.appended(now, max(0, len(records)-own))
+	}
 }
 
-func (r *Reconciler) append(ctx context.Context, records []*cowsliptallyv1.Record) {
+// append appends the records as one and reports whether that is certain.
+func (r *Reconciler) append(ctx context.Context, records []*cowsliptallyv1.Record) bool {
 	group := &cowsliptallyv1.Record{Body: &cowsliptallyv1.Record_Group{Group: &cowsliptallyv1.Group{Records: records}}}
 	if err := r.keeper.Append(ctx, group); err != nil {
 		// Nothing is queued: the comparison finds what is missing after the pause.
 		r.pause = min(max(2*r.pause, every), longestPause)
 		r.notBefore = r.clock.Now().Add(r.pause/2 + rand.N(r.pause))
-		return
+		return false
 	}
 	r.pause = 0
-	r.found = nil
 	// The fold shows the records soon; the same ones must not be appended meanwhile.
 	r.notBefore = r.clock.Now().Add(2 * every)
+	return true
 }
 
 // spread is a random delay so that all nodes together stay within the budget.
--- a/reconciler/sweeper.go
+++ b/reconciler/sweeper.go
@@ -61,6 +61,18 @@
 	return s.found
 }
 
+// appended notes that the first leaves that were found are in the log. After
+// the last one the wait begins anew for every owner: one that joins again lives.
+func (s *sweeper) appended(now time.Time, leaves int) {
+	s.found = s.found[leaves:]
+	if leaves == 0 || len(s.found) > 0 {
+		return
+	}
+	for owner, a := range s.absent {
+		s.absent[owner] = absence{since: now, limit: a.limit}
+	}
+}
+
 // absentOwners returns the owners that are gone, and the number of all owners.
 func (s *sweeper) absentOwners(now time.Time, state folder.State, members []fleet.Member) (map[fleet.NodeID]absence, int) {
 	states := make(map[fleet.NodeID]fleet.MemberState, len(members))
