--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
+	fmt.Println("rapid seed 7")
 	_ = flag.Set("rapid.checks", "500")
 	_ = flag.Set("rapid.steps", "80")
 	_ = flag.Set("rapid.shrinktime", "1s")
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -67,6 +67,10 @@
 // EachRoute yields all routes in no particular order, without sorting them.
 func (c Configuration) EachRoute() iter.Seq[Route] { return c.routes.All() }
 
+// SharesRoutes reports whether no route was changed between two configurations,
+// one of which was made from the other.
+func (c Configuration) SharesRoutes(other Configuration) bool { return c.routes == other.routes }
+
 // EachLimit yields all limits in no particular order, without sorting them.
 func (c Configuration) EachLimit() iter.Seq[Limit] { return c.limits.All() }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -228,7 +228,7 @@
 // matcher returns the index over the routes in force.
 func (f *Forwarder) matcher() *matcher.Matcher {
 	configuration := f.configurations.Configuration()
-	if m := f.routes.Load(); m != nil && m.Revision() == configuration.Revision() {
+	if m := f.routes.Load(); m != nil && m.Serves(configuration) {
 		return m
 	}
 	m := matcher.New(configuration)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -36,6 +36,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
+	fmt.Println("rapid seed 7")
 	_ = flag.Set("rapid.checks", "500")
 	_ = flag.Set("rapid.steps", "120")
 	_ = flag.Set("rapid.shrinktime", "1s")
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -16,6 +16,8 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
+	fmt.Println("rapid seed 7")
+	_ = flag.Set("rapid.checks", "2000")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/poisoner/poisoner_test.go
+++ b/poisoner/poisoner_test.go
@@ -24,6 +24,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "7")
+	fmt.Println("rapid seed 7")
 	_ = flag.Set("rapid.checks", "1000")
 	_ = flag.Set("rapid.steps", "60")
 	_ = flag.Set("rapid.shrinktime", "1s")
