Try again to tell nodes of suspects that could not be reached

Cause: a node that was cut off when a crash was reported never heard of it. Ruled out: waiting for all nodes before the caller is answered (bounded by 250 ms as it is). Before: told once. After: each second for a minute. Planted and seen failing: failures dropped.

--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -7,15 +7,14 @@
 	"sync"
 
 	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
 
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/ring"
 )
 
-// parallel bounds the calls to other nodes at a time.
-const parallel = 32
-
 // Members knows the nodes of the fleet.
 type Members interface {
 	Members() []fleet.Member
@@ -26,11 +25,23 @@
 	node    fleet.NodeID
 	members Members
 	client  *http.Client
+	clock   clockwork.Clock
+	later   *ring.Ring[news]
 }
 
 // New returns the spreader of a node.
-func New(node fleet.NodeID, members Members, client *http.Client) *Spreader {
-	return &Spreader{node: node, members: members, client: client}
+func New(node fleet.NodeID, members Members, client *http.Client, options ...Option) *Spreader {
+	s := &Spreader{
+		node:    node,
+		members: members,
+		client:  client,
+		clock:   clockwork.NewRealClock(),
+		later:   ring.New[news](capacity),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Report tells that a backend server died with these identities in its slots. It
@@ -48,20 +59,65 @@
 	s.spread(ctx, &cowsliptallyv1.SuspectRequest{Node: string(s.node), Cleared: []string{identity}})
 }
 
+// Run tries again, for a bounded time, what nodes could not be told, until ctx is done.
+func (s *Spreader) Run(ctx context.Context) error {
+	ticker := s.clock.NewTicker(spacing)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			s.retry(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 func (s *Spreader) spread(ctx context.Context, message *cowsliptallyv1.SuspectRequest) {
-	var group sync.WaitGroup
-	places := make(chan struct{}, parallel)
+	var all []news
 	for _, member := range s.members.Members() {
-		if member.ID == s.node || member.State != fleet.MemberAlive && member.State != fleet.MemberSuspect {
-			continue
+		if member.ID != s.node && (member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect) {
+			all = append(all, news{member: member, message: message, since: s.clock.Now()})
 		}
+	}
+	s.tell(ctx, all)
+}
+
+// retry tells everything that waited when it began.
+func (s *Spreader) retry(ctx context.Context) {
+	var due []news
+	for range s.later.Len() {
+		n, found := s.later.Pop(ctx)
+		if !found {
+			return
+		}
+		if s.clock.Since(n.since) < patience {
+			due = append(due, n)
+		}
+	}
+	s.tell(ctx, due)
+}
+
+// tell calls nodes, a bounded number at a time, and keeps what failed for later.
+func (s *Spreader) tell(ctx context.Context, all []news) {
+	var group sync.WaitGroup
+	places := make(chan struct{}, parallel)
+	for _, n := range all {
 		places <- struct{}{}
 		group.Go(func() {
 			defer func() { <-places }()
-			client := cowsliptallyv1connect.NewRequestServiceClient(s.client, "http://"+member.PeerAddress)
-			// A node that cannot be told still refuses what the others' answers tell it.
-			_, _ = client.Suspect(ctx, connect.NewRequest(message))
+			if s.call(ctx, n) != nil {
+				s.later.Push(n)
+			}
 		})
 	}
 	group.Wait()
 }
+
+func (s *Spreader) call(ctx context.Context, n news) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := cowsliptallyv1connect.NewRequestServiceClient(s.client, "http://"+n.member.PeerAddress)
+	_, err := client.Suspect(ctx, connect.NewRequest(n.message))
+	return err
+}
--- /dev/null
+++ b/spreader/spreader_test.go
@@ -0,0 +1,72 @@
+package spreader_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/spreader"
+)
+
+// peer is a node that cannot be reached while down is set.
+type peer struct {
+	cowsliptallyv1connect.UnimplementedRequestServiceHandler
+	down atomic.Bool
+	told chan string
+}
+
+func (p *peer) Suspect(_ context.Context, r *connect.Request[cowsliptallyv1.SuspectRequest]) (*connect.Response[cowsliptallyv1.SuspectResponse], error) {
+	if p.down.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, nil)
+	}
+	p.told <- strings.Join(r.Msg.GetIdentities(), ",")
+	return connect.NewResponse(&cowsliptallyv1.SuspectResponse{}), nil
+}
+
+type members []fleet.Member
+
+func (m members) Members() []fleet.Member { return m }
+
+// TestTellsEveryNodeAndTriesAgain cuts one of two nodes off for a while.
+func TestTellsEveryNodeAndTriesAgain(t *testing.T) {
+	is := is.New(t)
+	all := members{{ID: "self", State: fleet.MemberAlive}, {ID: "dead", State: fleet.MemberDead}}
+	peers := []*peer{{told: make(chan string, 9)}, {told: make(chan string, 9)}}
+	for i, p := range peers {
+		mux := http.NewServeMux()
+		mux.Handle(cowsliptallyv1connect.NewRequestServiceHandler(p))
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		all = append(all, fleet.Member{
+			ID: fleet.NodeID([]string{"a", "b"}[i]), State: fleet.MemberAlive, PeerAddress: strings.TrimPrefix(server.URL, "http://"),
+		})
+	}
+	clock := clockwork.NewFakeClock()
+	s := spreader.New("self", all, http.DefaultClient, spreader.WithClock(clock))
+	peers[1].down.Store(true)
+	s.Report(context.Background(), "backend", []string{"x", "y"})
+	is.Equal(<-peers[0].told, "x,y")
+	is.Equal(len(peers[1].told), 0)
+
+	peers[1].down.Store(false)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Run(ctx) }()
+	is.NoErr(clock.BlockUntilContext(ctx, 1))
+	clock.Advance(time.Second)
+	is.Equal(<-peers[1].told, "x,y")
+	is.Equal(len(peers[0].told), 0)
+	cancel()
+	is.NoErr(<-ended)
+}
