Give up after two lost owners; name the request in retry events; advise on keys

Ruled out: reporting such identities as suspect (a partition would make suspects of all in flight). Before: three VMs. After: two, reason 'lost'. Planted and seen failing: the bound left out.

--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -42,6 +42,9 @@
 	ReasonSilent Reason = "silent"
 	// ReasonCrash means that the backend server died while it ran the request.
 	ReasonCrash Reason = "crash"
+	// ReasonLost means that two owners in turn could not be reached any more while
+	// they ran the request, which may have taken their VMs with it.
+	ReasonLost Reason = "lost"
 	// ReasonBudget means that the retry budget of the service is spent.
 	ReasonBudget Reason = "budget"
 	// ReasonNotReady means that the node does not know a configuration yet.
@@ -62,6 +65,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonGuard,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonSilent,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
-		ReasonTicket, ReasonSuspect,
+		ReasonTicket, ReasonSuspect, ReasonLost,
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -107,6 +107,7 @@
 		r = refused(reason, err.Error())
 	}
 	r.blameless = sealErr == nil && reason == fleet.ReasonSilent
+	r.lostOwner = sealErr != nil && ctx.Err() == nil
 	return r
 }
 
--- a/forwarder/grant.go
+++ b/forwarder/grant.go
@@ -23,7 +23,8 @@
 	case reason == fleet.ReasonDuplicate:
 		return unknown(reason, "the key was used before, so the request will not run again")
 	default:
-		return unknown(fleet.ReasonGuard, "the key's guard cannot know whether it was used, so the request will not run")
+		return unknown(fleet.ReasonGuard, "the key's guard cannot know whether it was used, so the request will not run; "+
+			"if it was never sent before, send it under a UUIDv7 made now or a key from POST "+KeyPath)
 	}
 }
 
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -14,6 +14,8 @@
 	message string
 	// blameless is set when a lost connection was at fault, not the owner or backend server.
 	blameless bool
+	// lostOwner is set when the owner could not be asked any more about the attempt.
+	lostOwner bool
 	// exchange and content hold the answer when there is one.
 	exchange *pooler.Exchange
 	content  *collector.Content
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -34,6 +34,8 @@
 	granted      bool
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
+	// lostOwners counts the owners that could not be asked any more about an attempt.
+	lostOwners int
 	// trialNode permitted the trial run of this suspect; it is empty for others.
 	trialNode fleet.NodeID
 }
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -8,6 +8,9 @@
 	"cowsliptally.example/cowsliptally/retrier"
 )
 
+// maxLostOwners bounds the owners that one submission may lose.
+const maxLostOwners = 2
+
 // try makes attempts until one is answered or no other is allowed.
 func (f *Forwarder) try(ctx context.Context, s *submission) *result {
 	f.retrier.Begin(s.service)
@@ -22,18 +25,30 @@
 		if last.answered() {
 			return last
 		}
-		if last.outcome.Executed == fleet.ExecutedUnknown {
-			s.mayHaveRun = true
-		}
+		s.note(last)
 		if !last.blameless || last.outcome.Executed != fleet.ExecutedNo {
 			tried = append(tried, backend.ID)
 		}
-		if !f.again(ctx, s, backend, number, last) {
+		if !f.again(ctx, s, number, last) {
 			return last
 		}
 	}
 }
 
+// note keeps what a failed attempt means for the whole submission. A request that lost
+// two owners may have killed their VMs, which cannot report it, and is not sent to a third.
+func (s *submission) note(last *result) {
+	if last.outcome.Executed == fleet.ExecutedUnknown {
+		s.mayHaveRun = true
+	}
+	if last.lostOwner {
+		s.lostOwners++
+	}
+	if s.lostOwners >= maxLostOwners {
+		last.outcome.Reason = fleet.ReasonLost
+	}
+}
+
 // without is the result when no backend server is left to try.
 func (f *Forwarder) without(s *submission, last *result) *result {
 	if last != nil {
@@ -43,7 +58,7 @@
 }
 
 // again asks for a retry and waits until it is due.
-func (f *Forwarder) again(ctx context.Context, s *submission, backend fleet.Backend, number int, last *result) bool {
+func (f *Forwarder) again(ctx context.Context, s *submission, number int, last *result) bool {
 	decision := f.retrier.Decide(retrier.Attempt{
 		Service:    s.service,
 		Number:     number,
@@ -53,11 +68,11 @@
 	})
 	if !decision.Retry {
 		if decision.Reason == fleet.ReasonBudget {
-			f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(backend.ID), string(decision.Reason)).WithService(s.service))
+			f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(decision.Reason)).WithService(s.service))
 		}
 		return false
 	}
-	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(backend.ID), string(last.outcome.Reason),
+	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "delay", Value: float64(decision.Delay) / float64(time.Millisecond), Unit: "ms"},
 	).WithService(s.service))
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -25,6 +25,7 @@
 	fleet.ReasonConnect:    http.StatusBadGateway,
 	fleet.ReasonBroken:     http.StatusBadGateway,
 	fleet.ReasonCrash:      http.StatusBadGateway,
+	fleet.ReasonLost:       http.StatusBadGateway,
 	fleet.ReasonDeadline:   http.StatusGatewayTimeout,
 	fleet.ReasonSilent:     http.StatusGatewayTimeout,
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -61,7 +61,7 @@
 // Repeatable reports whether an outcome permits another attempt at all.
 func Repeatable(outcome fleet.Outcome, idempotent bool) bool {
 	switch outcome.Reason {
-	case fleet.ReasonCrash, fleet.ReasonPoison, fleet.ReasonSuspect, fleet.ReasonDuplicate, fleet.ReasonGuard,
+	case fleet.ReasonCrash, fleet.ReasonLost, fleet.ReasonPoison, fleet.ReasonSuspect, fleet.ReasonDuplicate, fleet.ReasonGuard,
 		fleet.ReasonCancelled, fleet.ReasonTooLarge, fleet.ReasonBadRequest, fleet.ReasonLimit:
 		return false
 	}
