--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -34,9 +34,18 @@
 // Rate returns the requests a second to one backend server.
 func (d *Detector) Rate() float64 { return d.rate }
 
-// Score returns the evidence against a backend server at a time, as far as the
-// thresholds let it count.
+// Score returns the evidence of results against a backend server at a time, as
+// far as the thresholds let it count.
 func (d *Detector) Score(id fleet.BackendID, now time.Time, threshold Threshold) Score {
+	return d.score(id, now, threshold, false)
+}
+
+// ScoreWaiting returns the evidence of results and of requests in flight.
+func (d *Detector) ScoreWaiting(id fleet.BackendID, now time.Time, threshold Threshold) Score {
+	return d.score(id, now, threshold, true)
+}
+
+func (d *Detector) score(id fleet.BackendID, now time.Time, threshold Threshold, waiting bool) Score {
 	t, found := d.tracks[id]
 	if !found {
 		return Score{}
@@ -44,8 +53,10 @@
 	var worst Score
 	for place := range t.sums {
 		nats, cause := t.sums[place].top(threshold)
-		if late := d.late(t, place, now); late > nats {
-			nats, cause = late, CauseStuck
+		if waiting {
+			if late := d.late(t, place, now); late > nats {
+				nats, cause = late, CauseStuck
+			}
 		}
 		if nats <= worst.Nats {
 			continue
--- /dev/null
+++ b/ejector/ejector_test.go
@@ -0,0 +1,161 @@
+package ejector_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/detector"
+	"cowsliptally.example/cowsliptally/ejector"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/judge"
+)
+
+const target fleet.BackendID = "b1"
+
+// world is a node with a log that ejects at once.
+type world struct {
+	evidence []judge.Evidence
+	ejection *cowsliptallyv1.Ejection
+	records  []*cowsliptallyv1.Record
+	down     bool
+	clock    *clockwork.FakeClock
+}
+
+func (w *world) Tick(time.Time) []fleet.Event { return nil }
+
+func (w *world) Evidence() []judge.Evidence { return w.evidence }
+
+func (w *world) Opinion(fleet.BackendID) (judge.Evidence, bool) {
+	if len(w.evidence) == 0 {
+		return judge.Evidence{}, false
+	}
+	return w.evidence[0], true
+}
+
+func (w *world) Append(_ context.Context, record *cowsliptallyv1.Record) error {
+	if w.down {
+		return errors.New("the log service is down")
+	}
+	w.records = append(w.records, record)
+	if record.GetReturn() != nil {
+		w.ejection = nil
+	}
+	if record.GetEjection() != nil {
+		w.ejection = record.GetEjection()
+	}
+	return nil
+}
+
+func (w *world) Ejected(fleet.BackendID) (*cowsliptallyv1.Ejection, bool) {
+	return w.ejection, w.ejection != nil
+}
+
+func (w *world) Backend(fleet.BackendID) (fleet.Backend, bool) {
+	return fleet.Backend{ID: target, Service: "s", Owner: "owner", Slots: 4}, true
+}
+
+func (w *world) Members() []fleet.Member {
+	return []fleet.Member{
+		{ID: "owner", Zone: "a", State: fleet.MemberAlive}, {ID: "n1", Zone: "a", State: fleet.MemberAlive},
+		{ID: "n2", Zone: "a", State: fleet.MemberAlive}, {ID: "n3", Zone: "b", State: fleet.MemberAlive},
+	}
+}
+
+func (w *world) Local() []fleet.Backend {
+	backend, _ := w.Backend(target)
+	return []fleet.Backend{backend}
+}
+
+func newWorld(node fleet.NodeID) (*world, *ejector.Ejector) {
+	w := &world{clock: clockwork.NewFakeClock()}
+	return w, ejector.New(node, w, ejector.WithClock(w.clock), ejector.WithAppender(w),
+		ejector.WithFold(w), ejector.WithMembers(w), ejector.WithLocal(w))
+}
+
+func (w *world) accuse() {
+	w.evidence = []judge.Evidence{{
+		Backend: target, Service: "s", Nats: 25, Cause: detector.CauseSlow,
+		Threshold: detector.NewThreshold(fleet.NewRule(fleet.LeanSteady), 10, 1),
+	}}
+}
+
+// run steps the ejector once a second while nodes testify.
+func (w *world) run(e *ejector.Ejector, seconds int, witnesses ...string) {
+	for range seconds {
+		w.clock.Advance(time.Second)
+		for _, node := range witnesses {
+			message := &cowsliptallyv1.Evidence{Node: node, Backend: string(target), Score: 25, Reason: "slow"}
+			request := &cowsliptallyv1.TestifyRequest{Evidence: []*cowsliptallyv1.Evidence{message}}
+			_, _ = e.Testify(context.Background(), connect.NewRequest(request))
+		}
+		e.Step(context.Background())
+	}
+}
+
+func TestWhoMayEject(t *testing.T) {
+	for _, c := range []struct {
+		about     string
+		node      fleet.NodeID
+		witnesses []string
+		ejected   bool
+	}{
+		{"the owner alone", "owner", nil, false},
+		{"the owner and another", "owner", []string{"n1"}, true},
+		{"one other alone", "n1", nil, false},
+		{"one availability zone without the owner", "n1", []string{"n2"}, false},
+		{"two availability zones without the owner", "n1", []string{"n3"}, true},
+	} {
+		t.Run(c.about, func(t *testing.T) {
+			is := is.New(t)
+			w, e := newWorld(c.node)
+			w.accuse()
+			w.run(e, 10, c.witnesses...)
+			is.Equal(w.ejection != nil, c.ejected)
+		})
+	}
+}
+
+func TestReturnsAndDoublesForRepeatedOnes(t *testing.T) {
+	is := is.New(t)
+	w, e := newWorld("owner")
+	var lengths []int
+	for range 4 {
+		w.accuse()
+		w.run(e, 10, "n1")
+		is.True(w.ejection != nil)
+		w.evidence = nil
+		seconds := 0
+		for ; w.ejection != nil && seconds < 1000; seconds++ {
+			w.run(e, 1)
+		}
+		lengths = append(lengths, seconds)
+		w.run(e, 10)
+	}
+	for i := 1; i < len(lengths); i++ {
+		is.True(lengths[i] > lengths[i-1]*3/2)
+	}
+	w.run(e, 3600)
+	w.accuse()
+	w.run(e, 10, "n1")
+	w.evidence = nil
+	w.run(e, 40)
+	is.Equal(w.ejection, (*cowsliptallyv1.Ejection)(nil))
+}
+
+func TestLogOutageQueuesNothing(t *testing.T) {
+	is := is.New(t)
+	w, e := newWorld("owner")
+	w.down = true
+	w.accuse()
+	w.run(e, 600, "n1")
+	w.down = false
+	w.run(e, 10, "n1")
+	is.Equal(len(w.records), 1)
+}
--- a/experiment/model/model.go
+++ b/experiment/model/model.go
@@ -15,7 +15,7 @@
 	tickEvery = judge.TickEvery
 	stepEvery = time.Second
 	// ownersNode stands for the owners of all backend servers.
-ownersNode = fleet.NodeID("owners")
+	ownersNode = fleet.NodeID("owners")
 	zoneCount  = 3
 )
 
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -63,7 +63,7 @@
 	if t, found := j.trials[s.Backend]; found && s.Class != fleet.ClassRefused {
 		t.results++
 	}
-	j.weigh(d, s.Service, s.Backend, s.At)
+	j.weigh(d, s.Service, s.Backend, s.At, d.Score)
 }
 
 // Attempt names a request in flight to Done.
@@ -80,8 +80,8 @@
 	return Attempt{service: service, attempt: j.detector(service).Begin(id, kind, j.clock.Now())}
 }
 
-// Done notes that a request is no longer in flight. It comes before Observe,
-// so that the request is not counted twice.
+// Done notes that a request is no longer in flight. It may come before or after
+// Observe: requests in flight are weighed by Tick alone.
 func (j *Judge) Done(a Attempt) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -98,7 +98,7 @@
 	j.noticePause(now)
 	for service, d := range j.detectors {
 		for _, id := range d.Waiting() {
-			j.weigh(d, service, id, now)
+			j.weigh(d, service, id, now, d.ScoreWaiting)
 		}
 	}
 	for id, t := range j.trials {
@@ -124,8 +124,13 @@
 	j.ticked = now
 }
 
+// scorer returns the evidence against a backend server.
+type scorer func(fleet.BackendID, time.Time, detector.Threshold) detector.Score
+
 // weigh compares the evidence against a backend server with the thresholds.
-func (j *Judge) weigh(d *detector.Detector, service fleet.ServiceName, id fleet.BackendID, now time.Time) {
+func (j *Judge) weigh(
+	d *detector.Detector, service fleet.ServiceName, id fleet.BackendID, now time.Time, score scorer,
+) {
 	threshold := d.Threshold()
 	limit := threshold.Degrade
 	t, tried := j.trials[id]
@@ -133,13 +138,13 @@
 		threshold = threshold.WithFailures(1)
 		limit = min(limit, relapseNats+threshold.Credit)
 	}
-	score := d.Score(id, now, threshold)
-	if score.Nats < limit {
+	found := score(id, now, threshold)
+	if found.Nats < limit {
 		return
 	}
 	evidence := Evidence{
-		Backend: id, Service: service, Nats: score.Nats, Cause: score.Cause,
-		Kind: d.Kind(score.Kind), Failures: score.Failures, Threshold: threshold,
+		Backend: id, Service: service, Nats: found.Nats, Cause: found.Cause,
+		Kind: d.Kind(found.Kind), Failures: found.Failures, Threshold: threshold,
 	}
 	if !tried {
 		t = &trial{service: service}
