Keep wide slowness and overload from counting as single faults

Cause: under a wide shift timeouts counted as failures of single backend servers (all-slow 5x, steady: 3 false in 40 backend-hours), and the evidence of the way stood still under overload (all-slow 20x: 8 in 10). Ruled out: the usual error rate's memory. Conclusion: a larger credit for failures, timeouts count as long times alone while the whole service is slow.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -106,7 +106,9 @@
 	case fleet.ClassCancelled:
 		d.observeUnanswered(t, place, s)
 	case fleet.ClassTimeout:
-		d.observeResult(t, place, true)
+		if kind.middle.slow <= wideShift && kind.middle.path <= wideShift {
+			d.observeResult(t, place, true)
+		}
 		d.observeUnanswered(t, place, s)
 	default:
 		d.observeResult(t, place, true)
@@ -145,7 +147,12 @@
 			kind.slow.add(s.ServiceTime)
 		}
 	}
-	if s.PathTime > 0 && !d.overloaded() {
+	if s.PathTime > 0 && d.overloaded() {
+		own.path = add(own.path, overloadRelief)
+		all.path = add(all.path, overloadRelief)
+		return
+	}
+	if s.PathTime > 0 {
 		nats := d.weigh(&kind.path, s.PathTime, kind.middle.path, &own.pathDrift)
 		own.path = add(own.path, nats)
 		all.path = add(all.path, nats)
--- a/detector/threshold.go
+++ b/detector/threshold.go
@@ -10,13 +10,13 @@
 	// creditDetect and creditSteady are added to the evidence of failures, in
 	// nats. A sum of failures leaves zero only with a failure, which is rare, so
 	// it crosses a threshold by chance far less often than a sum of times.
-	creditDetect = 4.6
+	creditDetect = 6.8
 	creditSteady = 1.2
 	// leastFailures is the number of failed answers below which errors are no
 	// verdict; one less is enough for evidence of surplus nats over the threshold.
 	leastFailuresDetect = 3
 	leastFailuresSteady = 4
-	surplus             = 2.3
+	surplus             = 3.0
 	secondsPerHour      = 3_600
 	// slowestRate and fastestRate bound the rate that thresholds are made for.
 	slowestRate = 0.01
--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -24,6 +24,8 @@
 	refusalMemory = 200.0
 	// overloadRefusals is the share of refused requests that shows an overload.
 	overloadRefusals = 0.03
+	// overloadRelief is the evidence of each answer on the way under overload, in nats.
+	overloadRelief = -0.5
 	// ratePeriod is the time over which the rate is measured.
 	ratePeriod = 10 * time.Second
 )
