--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// message returns the newest version of an entry, or nil when it no longer exists.
+// message returns the newest version of an entry, or nil when it no longer exists
+// or when it goes without saying: the backend servers of a node that left or died.
 func (p *Prober) message(key disseminator.Key) proto.Message {
 	if key.Class == disseminator.ClassMember {
 		if m, found := p.roster.Member(fleet.NodeID(key.ID)); found {
@@ -117,10 +118,15 @@
 		}
 		return nil
 	}
-	if b, found := p.roster.Backend(fleet.BackendID(key.ID)); found {
-		return backendMessage(b)
+	b, found := p.roster.Backend(fleet.BackendID(key.ID))
+	if !found {
+		return nil
+	}
+	owner, _ := p.roster.Member(b.Owner)
+	if owner.State == fleet.MemberLeft || owner.State == fleet.MemberDead {
+		return nil
 	}
-	return nil
+	return backendMessage(b)
 }
 
 // memberMessage leaves out what others know already of a node that is not alive.
