Eject on the owner's verdict, backed by others, after a relapse

Ruled out: lower thresholds (more false verdicts), letting advised nodes repeat the owner's figure (one witness counted twice), capping the evidence of requests in flight further (a stuck server must still be avoided at once). After: the owner's verdict needs the backing of another node's own 5 nats, and a second degradation without a passed probation in between; only the owner or its deputy proposes. Conclusion: degrading stays immediate and local; ejecting needs time and company.

--- a/ejector/decide.go
+++ b/ejector/decide.go
@@ -36,22 +36,22 @@
 	return records
 }
 
-// decideEjection returns an ejection when the testimony is enough, the owner at
-// once and others when the owner was silent for a while.
+// decideEjection returns an ejection when the testimony is enough, to the
+// node that has to propose it.
 func (e *Ejector) decideEjection(evidence judge.Evidence, now time.Time) *cowsliptallyv1.Record {
 	id := evidence.Backend
 	s := e.sentence(id)
 	backend, joined := e.fold.Backend(id)
 	_, ejected := e.fold.Ejected(id)
 	d := e.dossiers[id]
-	if !joined || ejected || !d.guilty(backend.Owner, evidence.Threshold) {
+	if !joined || ejected || evidence.Holds < leastHolds || !d.guilty(backend.Owner, evidence.Threshold) {
 		s.guilty = time.Time{}
 		return nil
 	}
 	if s.guilty.IsZero() {
 		s.guilty = now
 	}
-	if backend.Owner != e.node && now.Sub(s.guilty) < deputyDelay {
+	if !e.mayDecide(id, backend.Owner, now.Sub(s.guilty)) {
 		return nil
 	}
 	if !s.mayPropose(now) {
@@ -69,6 +69,15 @@
 	}}}
 }
 
+// mayDecide reports whether this node proposes: the owner at once, its deputy when
+// the owner was silent for a while, nobody else.
+func (e *Ejector) mayDecide(id fleet.BackendID, owner fleet.NodeID, waited time.Duration) bool {
+	if owner == e.node {
+		return true
+	}
+	return waited >= deputyDelay && e.deputy(id, owner) == e.node
+}
+
 // decideReturns returns the ejections of this VM's backend servers that are
 // over, and those of others that their owner left standing.
 func (e *Ejector) decideReturns(now time.Time) []*cowsliptallyv1.Record {
--- /dev/null
+++ b/judge/advise_test.go
@@ -0,0 +1,40 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// TestAdvisedNodeBacksOnlyWhatItSaw follows an owner's advice: the node avoids the
+// backend server at once, and testifies only with evidence of its own.
+func TestAdvisedNodeBacksOnlyWhatItSaw(t *testing.T) {
+	is := is.New(t)
+	j := New()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	observe := func(id fleet.BackendID, class fleet.Class, times int) {
+		for range times {
+			now = now.Add(10 * time.Millisecond)
+			j.Observe(fleet.Sample{
+				At: now, Service: "s", Backend: id, Kind: "k", Class: class,
+				ServiceTime: 5 * time.Millisecond, PathTime: 6 * time.Millisecond,
+			})
+		}
+	}
+	for range 100 {
+		observe("good-1", fleet.ClassOK, 1)
+		observe("good-2", fleet.ClassOK, 1)
+		observe("bad", fleet.ClassOK, 1)
+	}
+	j.Advise("s", "bad", 40)
+	is.Equal(j.Health("bad"), fleet.Degraded)
+	is.Equal(len(j.Evidence()), 0) // nothing of its own
+	observe("bad", fleet.ClassError, 3)
+	evidence := j.Evidence()
+	is.Equal(len(evidence), 1)
+	is.True(evidence[0].Nats >= CorroborationNats)
+	is.True(evidence[0].Cause != CauseAdvised)
+}
--- a/judge/evidence.go
+++ b/judge/evidence.go
@@ -9,8 +9,10 @@
 type Evidence struct {
 	Backend fleet.BackendID
 	Service fleet.ServiceName
-	// Nats is the greatest evidence since the backend server was degraded.
+	// Nats is the greatest evidence since the backend server was last trusted.
 	Nats float64
+	// Holds counts how often it was degraded since it was last trusted.
+	Holds int
 	// Cause is the test that gave most of it.
 	Cause detector.Cause
 	// Kind is the request kind that gave most of it; empty for all kinds together.
@@ -28,5 +30,6 @@
 		{Name: "degrade", Value: e.Threshold.Degrade, Unit: "nats"},
 		{Name: "eject", Value: e.Threshold.Eject, Unit: "nats"},
 		{Name: "failures", Value: float64(e.Failures)},
+		{Name: "holds", Value: float64(e.Holds)},
 	}
 }
--- a/judge/trial.go
+++ b/judge/trial.go
@@ -22,6 +22,8 @@
 	stageResults = 3
 	// relapseNats is the evidence that ends a probation.
 	relapseNats = 6.0
+	// CorroborationNats is the least evidence of its own with which a node backs an owner's verdict.
+	CorroborationNats = 5.0
 	// trickleShare is the part of a fair share that a degraded backend server gets.
 	trickleShare = 0.02
 )
@@ -48,9 +50,13 @@
 	hold    time.Duration
 	stage   int
 	results int
+	// holds counts the holds since the backend server was last trusted.
+	holds int
 	// ejected is true while the fold holds an ejection.
 	ejected  bool
 	evidence Evidence
+	// own is what this node itself saw of one that it avoids on its owner's advice.
+	own Evidence
 }
 
 // share returns the part of a fair share that the phase allows.
@@ -71,7 +77,36 @@
 	t.hold = t.nextHold(now, shortestHold(rate))
 	t.phase = phaseHeld
 	t.since = now
+	t.holds++
+	if t.holds > 1 && t.evidence.Cause != CauseAdvised {
+		evidence.Nats = max(evidence.Nats, t.evidence.Nats)
+	}
+	evidence.Holds = t.holds
 	t.evidence = evidence
+	t.own = Evidence{}
+}
+
+// hear takes in more evidence of this node's own during a hold.
+func (t *trial) hear(evidence Evidence) {
+	evidence.Holds = t.holds
+	switch {
+	case evidence.Nats > t.evidence.Nats:
+		t.evidence = evidence
+	case evidence.Nats > t.own.Nats:
+		t.own = evidence
+	}
+}
+
+// testimony returns what this node holds against the backend server of its own,
+// and whether that is worth telling others.
+func (t *trial) testimony() (Evidence, bool) {
+	if t.phase != phaseHeld {
+		return Evidence{}, false
+	}
+	if t.evidence.Cause != CauseAdvised {
+		return t.evidence, true
+	}
+	return t.own, t.own.Nats >= CorroborationNats
 }
 
 // shortestHold returns the length of a first hold.
@@ -116,5 +151,6 @@
 	}
 	t.phase = phaseTrusted
 	t.stage = 0
+	t.holds = 0
 	return true
 }
