Find the guard of a key 4,000 nodes wide without hashing every name

Cause: each keyed request walked a map of all members and hashed their names, twice. Ruled out: a cache by key (keys are used once). Planted and seen failing: margin, horizon, whole membership, index not moved with its entry.

--- /dev/null
+++ b/guard/bench_test.go
@@ -0,0 +1,48 @@
+package guard_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/guard"
+)
+
+// BenchmarkNodeFor finds the guard of keys among the target's 4,000 nodes.
+func BenchmarkNodeFor(b *testing.B) {
+	g := guard.New("node0", clockwork.NewRealClock())
+	var members []fleet.NodeID
+	for i := range 4000 {
+		members = append(members, fleet.NodeID(fmt.Sprint("node", i)))
+	}
+	g.Watch(members)
+	b.ResetTimer()
+	for i := range b.N {
+		g.NodeFor(fmt.Sprint("key", i))
+	}
+}
+
+// BenchmarkGrant grants keys and reports the bytes that each takes.
+func BenchmarkGrant(b *testing.B) {
+	before := heap()
+	g := guard.New("node", clockwork.NewRealClock())
+	for range 20_000 {
+		g.Grant("kiosk", g.Issue(), "0192f3c4-0000-7000-8000-000000000000")
+	}
+	size := float64(heap()-before) / float64(g.Len())
+	b.ResetTimer()
+	for range b.N {
+		g.Grant("kiosk", g.Issue(), "holder")
+	}
+	b.ReportMetric(size, "B/key")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -36,9 +36,9 @@
 	// whole is the time since which the membership was followed without a gap.
 	whole   time.Duration
 	watched time.Duration
-	// seen is the last time that each node was a member, and joined the first.
-	seen   map[fleet.NodeID]time.Duration
-	joined map[fleet.NodeID]time.Duration
+	// seen holds the nodes that were members within the window, and places their index.
+	seen   []sighting
+	places map[fleet.NodeID]int
 }
 
 // New returns a guard for one run of a node.
@@ -54,12 +54,12 @@
 		grants:   make(map[string]*list.Element),
 		order:    list.New(),
 		floor:    -1,
-		seen:     map[fleet.NodeID]time.Duration{node: 0},
-		joined:   map[fleet.NodeID]time.Duration{node: 0},
+		places:   make(map[fleet.NodeID]int),
 	}
 	for _, option := range options {
 		option(g)
 	}
+	g.see(node, 0)
 	return g
 }
 
@@ -78,17 +78,37 @@
 	}
 	g.watched = now
 	for _, node := range members {
-		if _, known := g.seen[node]; !known {
-			g.joined[node] = now
-		}
-		g.seen[node] = now
+		g.see(node, now)
+	}
+	g.see(g.node, now)
+	g.forgetNodes(now)
+}
+
+// see notes that a node is a member.
+func (g *Guard) see(node fleet.NodeID, now time.Duration) {
+	place, found := g.places[node]
+	if !found {
+		place = len(g.seen)
+		g.places[node] = place
+		g.seen = append(g.seen, sighting{node: node, hash: xxhash.Sum64String(string(node))})
 	}
-	g.seen[g.node] = now
-	for node, last := range g.seen {
-		if last < now-g.window-g.margin {
-			delete(g.seen, node)
-			delete(g.joined, node)
+	g.seen[place].last = now
+}
+
+// forgetNodes drops the nodes that no key can depend on any more.
+func (g *Guard) forgetNodes(now time.Duration) {
+	for place := 0; place < len(g.seen); {
+		if g.seen[place].last >= now-g.window-g.margin {
+			place++
+			continue
+		}
+		last := len(g.seen) - 1
+		delete(g.places, g.seen[place].node)
+		if place != last {
+			g.seen[place] = g.seen[last]
+			g.places[g.seen[place].node] = place
 		}
+		g.seen = g.seen[:last]
 	}
 }
 
@@ -174,13 +194,13 @@
 func (g *Guard) first(key string, horizon time.Duration) fleet.NodeID {
 	hash := xxhash.Sum64String(key)
 	best, bestScore := g.node, uint64(0)
-	for node, last := range g.seen {
-		if last < horizon {
+	for _, s := range g.seen {
+		if s.last < horizon {
 			continue
 		}
-		score := mix(hash ^ xxhash.Sum64String(string(node)))
-		if score > bestScore || score == bestScore && node > best {
-			best, bestScore = node, score
+		score := mix(hash ^ s.hash)
+		if score > bestScore || score == bestScore && s.node > best {
+			best, bestScore = s.node, score
 		}
 	}
 	return best
