--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"cowsliptally.example/cowsliptally/admitter"
 	"cowsliptally.example/cowsliptally/fault"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/pooler"
@@ -32,44 +33,55 @@
 
 // serve waits for a slot, dispatches the attempt and answers it.
 func (a *attempt) serve(ctx context.Context, w http.ResponseWriter) {
-	beats := startHeartbeat(w, a.dispatcher.clock, a.dispatcher.heartbeat)
-	id, reason := a.gate.enter(ctx, a.call)
-	if reason != "" {
-		beats.stop()
-		a.dispatcher.refuse(w, a.call, refused(reason), "the request got no slot")
-		return
-	}
-	if outcome := a.begin(ctx); outcome.Reason != "" {
-		a.gate.leave(id, a.call.kind, 0)
+	d := a.dispatcher
+	beats := startHeartbeat(w, d.clock, d.heartbeat)
+	id, outcome := a.admit(ctx)
+	if outcome.Reason != "" {
 		beats.stop()
-		a.dispatcher.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
+		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
 	}
-	done := a.dispatcher.observer.Watch(a.backend.Service, a.backend.ID, a.call.kind)
-	defer done()
-	start := a.dispatcher.clock.Now()
-	result := a.run(ctx)
-	took := a.dispatcher.clock.Since(start)
+	result, took := a.observed(ctx)
 	beats.stop()
 	defer result.close()
-	a.observe(result, took)
-	if result.outcome.Executed == fleet.ExecutedYes {
-		a.dispatcher.clear(a.call.identity)
-	}
 	if result.outcome.Executed != fleet.ExecutedYes {
 		a.gate.leave(id, a.call.kind, 0)
-		a.dispatcher.refuse(w, a.call, result.outcome, result.message)
+		d.refuse(w, a.call, result.outcome, result.message)
 		return
 	}
+	d.clear(a.call.identity)
 	if result.whole {
 		a.gate.leave(id, a.call.kind, max(took, 1))
-		a.answer(w, result, took)
-		return
+	} else {
+		defer a.gate.leave(id, a.call.kind, 0)
 	}
-	defer a.gate.leave(id, a.call.kind, 0)
 	a.answer(w, result, took)
 }
 
+// admit gets a slot for the attempt and counts it as dispatched, or says why not.
+func (a *attempt) admit(ctx context.Context) (admitter.ID, fleet.Outcome) {
+	id, reason := a.gate.enter(ctx, a.call)
+	if reason != "" {
+		return id, refused(reason)
+	}
+	outcome := a.begin(ctx)
+	if outcome.Reason != "" {
+		a.gate.leave(id, a.call.kind, 0)
+	}
+	return id, outcome
+}
+
+// observed runs the attempt and tells the judges of health about it.
+func (a *attempt) observed(ctx context.Context) (*result, time.Duration) {
+	done := a.dispatcher.observer.Watch(a.backend.Service, a.backend.ID, a.call.kind)
+	defer done()
+	start := a.dispatcher.clock.Now()
+	result := a.run(ctx)
+	took := a.dispatcher.clock.Since(start)
+	a.observe(result, took)
+	return result, took
+}
+
 // begin checks all that may have changed while the attempt waited, then counts it as dispatched.
 func (a *attempt) begin(ctx context.Context) fleet.Outcome {
 	if ctx.Err() != nil {
