--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -165,6 +165,7 @@
 // TestSilentConnectionCostsOneProgressTimeout silences the pooled connections for
 // good: the refund is sealed, sent anew over a fresh one and nobody is blamed.
 func TestSilentConnectionCostsOneProgressTimeout(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := newLedger()
 	r := newRig(t, impatient())
@@ -188,6 +189,7 @@
 
 // TestSlowRequestIsNotSilent runs longer than several progress timeouts.
 func TestSlowRequestIsNotSilent(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := newRig(t, impatient())
 	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -291,6 +293,7 @@
 // owner and its backend server: the read is answered by another backend server, and the
 // next one by the first again.
 func TestSilentBackendConnectionBlamesNobody(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l, other := newLedger(), newLedger()
 	r := newRig(t)
--- a/forwarder/history_test.go
+++ b/forwarder/history_test.go
@@ -126,6 +126,7 @@
 // TestCallersAreToldTheTruth sends requests through three nodes to three owners while
 // links go silent and come back late, backend servers break connections and drain.
 func TestCallersAreToldTheTruth(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	h := &history{rig: newRig(t, hasty()), ledger: newLedger()}
 	h.callers = []string{h.rig.caller.URL}
--- a/forwarder/memory_test.go
+++ b/forwarder/memory_test.go
@@ -22,6 +22,7 @@
 // TestMemoryStaysInItsBound sends 24 uploads of 1 MB at a time to a node that may hold
 // 8 MB in both roles, while ten callers do not read their large answers.
 func TestMemoryStaysInItsBound(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const bound, size = 8 << 20, 1 << 20
 	memory := accountant.New(bound)
