--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -165,6 +165,7 @@
 // TestSilentConnectionCostsOneProgressTimeout silences the pooled connections for
 // good: the refund is sealed, sent anew over a fresh one and nobody is blamed.
 func TestSilentConnectionCostsOneProgressTimeout(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := newLedger()
 	r := newRig(t, impatient())
@@ -188,6 +189,7 @@
 
 // TestSlowRequestIsNotSilent runs longer than several progress timeouts.
 func TestSlowRequestIsNotSilent(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := newRig(t, impatient())
 	r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -291,17 +293,28 @@
 // owner and its backend server: the read is answered by another backend server, and the
 // next one by the first again.
 func TestSilentBackendConnectionBlamesNobody(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l, other := newLedger(), newLedger()
 	r := newRig(t)
-	o := r.addOwner("a", together(3, l), dispatcher.WithPooler(pooler.New(pooler.WithProgress(time.Second))),
+	backend := http.NewServeMux()
+	backend.Handle("/warm", together(3, l))
+	backend.Handle("/", l)
+	o := r.addOwner("a", backend, dispatcher.WithPooler(pooler.New(pooler.WithProgress(time.Second))),
 		dispatcher.WithObserver(r), dispatcher.WithRecorder(r))
 	r.addOwner("b", other)
 	relay := newRelay(t, o.backend.Address)
 	o.mu.Lock()
 	o.backend.Address = relay.listener.Addr().String()
 	o.mu.Unlock()
-	warm(t, r, 3)
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() { ask(t, r, "GET", "/warm", "", fleet.HeaderKind, "warm") })
+	}
+	group.Wait()
+	for range 20 {
+		ask(t, r, "GET", "/", "") // the usual time of the kind is learnt
+	}
 	relay.silence()
 	response, _ := ask(t, r, "GET", "/", "", fleet.HeaderRequest, "read")
 	is.Equal(response.StatusCode, 200)
