Tell every node of a crash before its callers hear of it

Cause: the daemon's own queue of crash reports returned before any node was told, and one dead node held up later reports by 2 s, so a request sent again at once could take out more than two backend servers. Ruled out: a longer queue. Before: daemon/suspects.go. After: spreader, which returns when every live node answered or the time is over and tries again what failed; the dispatcher watches the guard's members itself.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"cowsliptally.example/cowsliptally/registrar"
 	"cowsliptally.example/cowsliptally/roster"
 	"cowsliptally.example/cowsliptally/settings"
+	"cowsliptally.example/cowsliptally/spreader"
 )
 
 // suffixLength is the number of random characters that make a node's identifier
@@ -64,7 +65,7 @@
 	poisoner     *poisoner.Poisoner
 	guard        *guard.Guard
 	memory       *accountant.Accountant
-	suspects     *suspects
+	spreader     *spreader.Spreader
 	forwarder    *forwarder.Forwarder
 	dispatcher   *dispatcher.Dispatcher
 }
@@ -157,7 +158,7 @@
 	d.guard = guard.New(d.self.ID, d.clock)
 	d.poisoner = poisoner.New(d.clock)
 	d.memory = accountant.New(d.set.Memory)
-	d.suspects = newSuspects(d)
+	d.spreader = spreader.New(d.self.ID, d.roster, d.client, spreader.WithClock(d.clock))
 	d.forwarder = forwarder.New(d.self.ID, d.keeper, d.roster, d.balancer,
 		forwarder.WithAnswerBound(d.set.MaxAnswer),
 		forwarder.WithBodyBound(d.set.MaxBody),
@@ -179,7 +180,7 @@
 		dispatcher.WithObserver(observer{d.judge}),
 		dispatcher.WithPoisoner(d.poisoner),
 		dispatcher.WithRecorder(d.journal),
-		dispatcher.WithSuspects(d.suspects))
+		dispatcher.WithSuspects(d.spreader))
 }
 
 // logHost returns the IP and port of the log service's checked address.
--- a/daemon/duty.go
+++ b/daemon/duty.go
@@ -3,14 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
-
-	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// guardInterval is the time between two looks of the guard at the membership.
-const guardInterval = 500 * time.Millisecond
-
 // duty is one lasting task with a goroutine of its own.
 type duty struct {
 	name string
@@ -25,8 +19,8 @@
 		{"registrar", d.registrar.Run},
 		{"prober", d.prober.Run},
 		{"ejector", d.ejector.Run},
-		{"suspects", d.suspects.Run},
-		{"guard", d.watchMembers},
+		{"spreader", d.spreader.Run},
+		{"dispatcher", d.dispatcher.Run},
 	}
 }
 
@@ -54,27 +48,3 @@
 		}
 	}
 }
-
-// watchMembers keeps the guard informed of the nodes that may guard a key.
-func (d *Daemon) watchMembers(ctx context.Context) error {
-	ticker := d.clock.NewTicker(guardInterval)
-	defer ticker.Stop()
-	for {
-		d.guard.Watch(d.aliveNodes())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
-	}
-}
-
-func (d *Daemon) aliveNodes() []fleet.NodeID {
-	var nodes []fleet.NodeID
-	for _, member := range d.roster.Members() {
-		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
-			nodes = append(nodes, member.ID)
-		}
-	}
-	return nodes
-}
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"connectrpc.com/connect"
 
@@ -81,7 +82,7 @@
 ) (*cowsliptallyv1.TestifyResponse, error) {
 	member, found := w.d.roster.Member(node)
 	if !found {
-		return nil, connect.NewError(connect.CodeNotFound, errUnknownNode(node))
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("node %q is not in the roster", node))
 	}
 	client := cowsliptallyv1connect.NewHealthServiceClient(w.d.client, "http://"+member.PeerAddress)
 	response, err := client.Testify(ctx, connect.NewRequest(request))
