--- a/standin/logservice/server/server.go
+++ b/standin/logservice/server/server.go
@@ -87,14 +87,15 @@
 }
 
 func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, r) {
-		return
-	}
+	// The body is read first: a hanging call notices only then that its caller left.
 	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
 	if err != nil {
 		http.Error(w, fmt.Sprintf("record: %v", err), http.StatusRequestEntityTooLarge)
 		return
 	}
+	if !s.admit(w, r) {
+		return
+	}
 	offset, lost := s.append(chi.URLParam(r, "stream"), payload)
 	if lost {
 		<-r.Context().Done()
