Apply a file twice without a second revision

Cause: a service without a trust rule in the file differed for ever from the one in force, which holds an empty rule; each apply made a new revision. Ruled out: comparing in the fold; the diff shown to operators would still be wrong. Before: the second apply proposed the service again (seen by the new test). After: a file's service gets an empty rule when read. Conclusion: dry run, apply, repeat, conflict and outage are checked through the commands.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +103,36 @@
 	is.Equal(command.ExitCode(err), 1)
 	is.True(strings.Contains(err.Error(), `service "unknown" does not exist`))
 }
+
+func TestApplyJudgesComparesAndConflicts(t *testing.T) {
+	is := is.New(t)
+	c, logs, k := node(t)
+	const file = "../configfile/testdata/fleet.yaml"
+	out, err := run(t, c, "apply", "--dry-run", file)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "+ service ledger") && strings.Contains(out, "would be accepted as revision 1"))
+	is.Equal(k.Configuration().Revision(), fleet.Revision(0))
+	_, err = run(t, c, "apply", file)
+	is.NoErr(err)
+	out, err = run(t, c, "apply", "--prune", file)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "nothing to change at revision 1"))
+	exported, err := run(t, c, "export")
+	is.NoErr(err)
+	old := filepath.Join(t.TempDir(), "old.yaml")
+	is.NoErr(os.WriteFile(old, []byte(strings.Replace(exported, "min_healthy_slots: 8", "min_healthy_slots: 9", 1)), 0o600))
+	_, err = run(t, c, "limit", "put", "store-8", "--rate=1")
+	is.NoErr(err)
+	_, err = run(t, c, "apply", old)
+	is.Equal(command.ExitCode(err), 1)
+	is.True(strings.Contains(err.Error(), "conflict: base revision 1 is not the current revision 2"))
+	logs.SetFaults(server.Faults{Down: true})
+	for k.Status() != keeper.StatusDown {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = run(t, c, "limit", "put", "store-8", "--rate=2")
+	is.Equal(command.ExitCode(err), 3)
+	out, err = run(t, c, "limit", "list")
+	is.NoErr(err)
+	is.True(strings.Contains(out, "organisation=store-8 requestspersecond=1"))
+}
--- a/configfile/file.go
+++ b/configfile/file.go
@@ -21,6 +21,12 @@
 	if err := checkTwice(path, message); err != nil {
 		return nil, err
 	}
+	for _, service := range message.GetServices() {
+		if service.GetRule() == nil {
+			// Configurations in force always hold a rule, if only an empty one.
+			service.Rule = &cowsliptallyv1.TrustRule{}
+		}
+	}
 	return message, nil
 }
 
