--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -205,6 +205,19 @@
 	return d.open
 }
 
+// Retain drops the state of all backend servers that are not listed and
+// returns them.
+func (d *Detector) Retain(listed map[fleet.BackendID]bool) []fleet.BackendID {
+	var dropped []fleet.BackendID
+	for id := range d.tracks {
+		if !listed[id] {
+			dropped = append(dropped, id)
+			delete(d.tracks, id)
+		}
+	}
+	return dropped
+}
+
 // Clear drops the evidence against a backend server.
 func (d *Detector) Clear(id fleet.BackendID) {
 	t, found := d.tracks[id]
--- a/judge/step.go
+++ b/judge/step.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowsliptally.example/cowsliptally/detector"
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
@@ -46,9 +47,25 @@
 	for name, d := range j.detectors {
 		service, _ := configuration.Service(name)
 		d.SetRule(service.Rule)
-		for _, backend := range j.directory.Backends(name) {
+		backends := j.directory.Backends(name)
+		for _, backend := range backends {
 			j.reviewBackend(backend, now)
 		}
+		if len(backends) > 0 && d.Backends() > len(backends) {
+			j.forgetOthers(d, backends)
+		}
+	}
+}
+
+// forgetOthers drops what is kept of backend servers that the directory no
+// longer lists.
+func (j *Judge) forgetOthers(d *detector.Detector, backends []fleet.Backend) {
+	listed := make(map[fleet.BackendID]bool, len(backends))
+	for _, backend := range backends {
+		listed[backend.ID] = true
+	}
+	for _, id := range d.Retain(listed) {
+		delete(j.trials, id)
 	}
 }
 
