--- a/detector/detector.go
+++ b/detector/detector.go
@@ -106,7 +106,8 @@
 	case fleet.ClassCancelled:
 		d.observeUnanswered(t, place, s)
 	case fleet.ClassTimeout:
-		if kind.middle.slow <= wideShift && kind.middle.path <= wideShift {
+		t.late = s.At
+		if !d.allLate(kind, s.At) {
 			d.observeResult(t, place, true)
 		}
 		d.observeUnanswered(t, place, s)
--- a/detector/track.go
+++ b/detector/track.go
@@ -28,6 +28,8 @@
 	sums    []sums
 	pending []pending
 	last    time.Time
+	// late is the time of the last result that did not come in time.
+	late time.Time
 	// grace is the end of the time in which long times are no evidence.
 	grace time.Time
 }
--- a/detector/verdict.go
+++ b/detector/verdict.go
@@ -26,6 +26,9 @@
 	overloadRefusals = 0.03
 	// overloadRelief is the evidence of each answer on the way under overload, in nats.
 	overloadRelief = -0.5
+	// lateShare is the part of the backend servers, one in so many, that may have
+	// late answers before they say nothing of single ones.
+	lateShare = 3
 	// ratePeriod is the time over which the rate is measured.
 	ratePeriod = 10 * time.Second
 )
@@ -177,6 +180,25 @@
 // single backend servers.
 func (d *Detector) overloaded() bool { return d.refusals > overloadRefusals }
 
+// allLate reports whether late answers are nothing special at the moment: the
+// whole service is slow, or many of the backend servers had one of late.
+func (d *Detector) allLate(kind *kindState, now time.Time) bool {
+	if kind.middle.slow > wideShift || kind.middle.path > wideShift {
+		return true
+	}
+	active, late := 0, 0
+	for _, t := range d.tracks {
+		if now.Sub(t.last) > activeFor {
+			continue
+		}
+		active++
+		if now.Sub(t.late) <= activeFor {
+			late++
+		}
+	}
+	return late > max(active/lateShare, 1)
+}
+
 // countRate measures the rate of requests to one backend server.
 func (d *Detector) countRate(now time.Time) {
 	d.samples++
