Keep one connection for a backend server's leases

Ruled out: longer intervals (the lease of 3 s must survive two lost calls). Before: a new connection for each call. Conclusion: a silent connection costs one announcement, not the lease.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -60,12 +60,13 @@
 	return a
 }
 
-// dial returns a client that uses a new connection for each call, so that a
-// connection that went silent never costs a second lease.
+// dial returns a client that keeps one connection. A call that meets its time limit
+// closes it, so a connection that went silent costs one announcement of a lease.
 func dial(peerAddress string) Node {
 	transport := &http.Transport{
-		DialContext:       (&net.Dialer{}).DialContext,
-		DisableKeepAlives: true,
+		DialContext:         (&net.Dialer{}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
 	}
 	return cowsliptallyv1connect.NewBackendServiceClient(
 		&http.Client{Transport: transport}, "http://"+peerAddress)
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -226,3 +226,34 @@
 		equalTables(t, nodes)
 	})
 }
+
+func TestLossOfAZoneBuriesOnlyItsNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(64)
+		time.Sleep(20 * time.Second)
+		accused := accusations(w)
+		for _, n := range nodes[:16] {
+			w.kill(n)
+		}
+		lost := time.Now()
+		buried := func() bool {
+			for _, n := range nodes[16:] {
+				for _, gone := range nodes[:16] {
+					if !n.sees(gone, fleet.MemberDead) {
+						return false
+					}
+				}
+			}
+			return true
+		}
+		for !buried() && time.Since(lost) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(buried())
+		t.Logf("16 of 64 nodes buried everywhere after %s", time.Since(lost))
+		is.Equal(len(accused()), 32) // each lost node suspect, then dead, and no other
+	})
+}
--- a/slopes/main.go
+++ b/slopes/main.go
@@ -11,7 +11,7 @@
 
 // arguments are the command line.
 type arguments struct {
-	Parts []string      `arg:"" optional:"" help:"Parts to measure: memory, change, peers, request, appends; all by default."`
+	Parts []string      `arg:"" optional:"" help:"Parts to measure: memory, change, peers, announcements, request, appends; all by default."`
 	Span  time.Duration `help:"Time over which each size of a running fleet is measured." default:"12s"`
 }
 
@@ -26,6 +26,7 @@
 		{"memory", measureMemory},
 		{"change", measureChanges},
 		{"peers", measurePeers},
+		{"announcements", measureAnnouncements},
 		{"request", measureRequests},
 		{"appends", measureAppends},
 	}
