--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -67,6 +67,10 @@
 // EachRoute yields all routes in no particular order, without sorting them.
 func (c Configuration) EachRoute() iter.Seq[Route] { return c.routes.All() }
 
+// SharesRoutes reports whether no route was changed between two configurations,
+// one of which was made from the other.
+func (c Configuration) SharesRoutes(other Configuration) bool { return c.routes == other.routes }
+
 // EachLimit yields all limits in no particular order, without sorting them.
 func (c Configuration) EachLimit() iter.Seq[Limit] { return c.limits.All() }
 
@@ -132,3 +136,15 @@
 func sorted[V any](entries iter.Seq[V], name func(V) string) []V {
 	return slices.SortedFunc(entries, func(a, b V) int { return strings.Compare(name(a), name(b)) })
 }
+
+// NewConfiguration returns a configuration that holds all of these; it is much
+// cheaper than one With call for each.
+func NewConfiguration(revision Revision, services []Service, routes []Route, limits []Limit, overrides []Override) Configuration {
+	return Configuration{
+		revision:  revision,
+		services:  indexer.Of(services),
+		routes:    indexer.Of(routes),
+		limits:    indexer.Of(limits),
+		overrides: indexer.Of(overrides),
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,8 +97,9 @@
 	if f.memory == nil {
 		f.memory = accountant.New(DefaultMemory)
 	}
-	f.bodies = collector.New(f.memory, f.bodyBound)
-	f.answers = collector.New(f.memory, f.answerBound)
+	share := f.memory.Bound() / memoryShares
+	f.bodies = collector.New(f.memory.Share(max(share, f.bodyBound)), f.bodyBound)
+	f.answers = collector.New(f.memory.Share(share), f.answerBound)
 }
 
 // InFlight returns the requests that are being served.
@@ -227,7 +228,7 @@
 // matcher returns the index over the routes in force.
 func (f *Forwarder) matcher() *matcher.Matcher {
 	configuration := f.configurations.Configuration()
-	if m := f.routes.Load(); m != nil && m.Revision() == configuration.Revision() {
+	if m := f.routes.Load(); m != nil && m.Serves(configuration) {
 		return m
 	}
 	m := matcher.New(configuration)
