Show that halves find each other when every seed is dead

Cause: the planted fault 'dead nodes are never probed again' passed: a live seed on the other side hid it. Conclusion: 8 nodes cut in halves for 10 minutes agree again within 2 minutes without any seed.

--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -257,3 +257,40 @@
 		is.Equal(len(accused()), 32) // each lost node suspect, then dead, and no other
 	})
 }
+
+func TestHalvesFindEachOtherAfterALongCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(10)
+		time.Sleep(20 * time.Second)
+		w.kill(nodes[0]) // both seeds, so that only the nodes themselves are left
+		w.kill(nodes[1])
+		nodes = nodes[2:]
+		setCut := func(cut bool) {
+			for _, left := range nodes[:4] {
+				for _, right := range nodes[4:] {
+					w.setCut(left, right, cut)
+					w.setCut(right, left, cut)
+				}
+			}
+		}
+		setCut(true)
+		time.Sleep(10 * time.Minute)
+		for _, left := range nodes[:4] {
+			for _, right := range nodes[4:] {
+				is.True(left.sees(right, fleet.MemberDead))
+				is.True(right.sees(left, fleet.MemberDead))
+			}
+		}
+		setCut(false)
+		time.Sleep(2 * time.Minute)
+		for _, n := range nodes {
+			for _, other := range nodes {
+				is.True(n.sees(other, fleet.MemberAlive))
+			}
+		}
+		equalTables(t, nodes)
+	})
+}
