--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,8 +97,9 @@
 	if f.memory == nil {
 		f.memory = accountant.New(DefaultMemory)
 	}
-	f.bodies = collector.New(f.memory, f.bodyBound)
-	f.answers = collector.New(f.memory, f.answerBound)
+	share := f.memory.Bound() / memoryShares
+	f.bodies = collector.New(f.memory.Share(max(share, f.bodyBound)), f.bodyBound)
+	f.answers = collector.New(f.memory.Share(share), f.answerBound)
 }
 
 // InFlight returns the requests that are being served.
@@ -151,13 +152,16 @@
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
 	found := f.find(ctx, s)
 	defer found.close()
+	if s.mayHaveRun && found.outcome.Executed == fleet.ExecutedNo {
+		// The proof is for the last attempt only.
+		found.outcome.Executed = fleet.ExecutedUnknown
+	}
 	if found.answered() {
 		f.answer(w, s, found)
 		return
 	}
 	if found.outcome.Executed == fleet.ExecutedNo {
-		f.endTrial(s)
-		f.release(s)
+		f.giveBack(s)
 	}
 	f.refuse(w, s, found)
 }
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -24,14 +24,18 @@
 	DefaultAnswerBound = 1 << 20
 	// DefaultMemory bounds the bytes of all bodies at a time.
 	DefaultMemory = 24 << 20
+	// memoryShares divides the memory between bodies and answers of ingress and owner,
+	// so that slow callers cannot take all of it.
+	memoryShares = 4
 	// DefaultProgress is the time without a sign of life after which a connection is suspected.
 	DefaultProgress = time.Second
 	// DefaultWriteTimeout bounds the writing of one part of an answer to a slow caller.
 	DefaultWriteTimeout = 10 * time.Second
-	// Slack bounds how long after its deadline a caller hears: the time to seal an attempt.
-	Slack = 300 * time.Millisecond
 	// sealTimeout bounds one call to another node about a request.
 	sealTimeout = 250 * time.Millisecond
+	// Slack bounds how long after its deadline a caller hears: the time to seal an
+	// attempt, and then to give back its key.
+	Slack = 2*sealTimeout + 50*time.Millisecond
 )
 
 // Option changes a part or setting of a Forwarder.
