Tell callers to go elsewhere before a node closes its connections

Cause: on SIGTERM a node closed kept connections at once; a request sent on one at that moment got EOF, so its caller was told nothing (TestReplacementOfEverything: 1 of 2511 lost). After: the node refuses with executed=no for one second, each answer closes its connection, and only then are listener and connections closed; callers pass a node over that said so. A connection that is not used in that second can still meet its close.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -24,6 +24,8 @@
 	maxOutstanding = 4096
 	dialTimeout    = 300 * time.Millisecond
 	idleConns      = 64
+	// avoidTime is how long a node is passed over that said that it ends.
+	avoidTime = 5 * time.Second
 )
 
 // Caller sends requests of some kinds to some nodes.
@@ -36,8 +38,10 @@
 	// slots bounds the requests that wait for an answer.
 	slots chan struct{}
 
-	mu      sync.Mutex
-	nodes   []string
+	mu    sync.Mutex
+	nodes []string
+	// avoided says until when nodes are passed over that said that they end.
+	avoided map[string]time.Time
 	random  *rand.Rand
 	records []Record
 	pending sync.WaitGroup
@@ -69,7 +73,8 @@
 	}
 	c := &Caller{
 		kinds: kinds, nodes: nodes, slack: DefaultSlack,
-		client: &http.Client{Transport: transport}, slots: make(chan struct{}, maxOutstanding),
+		avoided: map[string]time.Time{},
+		client:  &http.Client{Transport: transport}, slots: make(chan struct{}, maxOutstanding),
 		random: rand.New(rand.NewPCG(defaultSeed, defaultSeed)),
 	}
 	for _, option := range options {
@@ -181,11 +186,26 @@
 	return c.kinds[len(c.kinds)-1]
 }
 
-// order returns the nodes in a drawn order.
+// avoid passes a node over for a while.
+func (c *Caller) avoid(node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[node] = time.Now().Add(avoidTime)
+}
+
+// order returns the nodes in a drawn order, without those that are avoided.
 func (c *Caller) order() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	nodes := append([]string(nil), c.nodes...)
+	var nodes []string
+	for _, node := range c.nodes {
+		if time.Now().After(c.avoided[node]) {
+			nodes = append(nodes, node)
+		}
+	}
+	if len(nodes) == 0 {
+		nodes = append(nodes, c.nodes...)
+	}
 	c.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	return nodes
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -88,6 +88,9 @@
 	switch executed {
 	case fleet.ExecutedNo:
 		record.Result = ResultRefused
+		if record.Reason == string(fleet.ReasonDraining) {
+			c.avoid(record.Node)
+		}
 	case fleet.ExecutedUnknown:
 		record.Result = ResultUnknown
 	case fleet.ExecutedYes:
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -30,6 +30,7 @@
 // servers are the two HTTP servers of a node with their listeners.
 type servers struct {
 	callers, peers *http.Server
+	farewell       *farewell
 	callerL, peerL net.Listener
 	errs           chan error
 }
@@ -45,12 +46,14 @@
 		callerL.Close()
 		return nil, &Error{Operation: "listen on --peer-address", Kind: KindListen, Err: err}
 	}
+	leaving := &farewell{next: d.callerRouter()}
 	s := &servers{
-		callers: newServer(d.callerRouter()),
-		peers:   newServer(d.peerRouter()),
-		callerL: callerL,
-		peerL:   peerL,
-		errs:    make(chan error, 2),
+		callers:  newServer(leaving),
+		farewell: leaving,
+		peers:    newServer(d.peerRouter()),
+		callerL:  callerL,
+		peerL:    peerL,
+		errs:     make(chan error, 2),
 	}
 	return s, nil
 }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -16,6 +16,7 @@
 	if leaveErr != nil {
 		d.logger.Warn("leave", "node", d.self.ID, "err", leaveErr)
 	}
+	s.farewell.wait(ctx)
 	err := errors.Join(d.forwarder.Shutdown(ctx), d.dispatcher.Shutdown(ctx), s.close(ctx))
 	if err == nil {
 		return nil
