Tell a request that its backend server shed as not run

Cause: the owner frees a slot when an attempt ends, the backend server a little later when it notices the cancellation; the next attempt finds its slots full and is shed with status 503 and executed=no, which the owner passed on as an answer with executed=yes. Found by TestFlapping (lost=2 of 1509) and TestFreeze (lost=1 of 2563) under -race: told run, in no ledger. Ruled out: a ledger that misses starts (each start is written before the run). After: status 503 with executed=no from a backend server is refused with reason busy, and may be tried elsewhere.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -110,6 +110,10 @@
 		message := fmt.Sprintf("the backend server answered request %q", echoed)
 		return &result{outcome: unknown(fleet.ReasonBroken), message: message}
 	}
+	if shed(response) {
+		exchange.Close()
+		return &result{outcome: refused(fleet.ReasonBusy), message: "the backend server shed the request"}
+	}
 	if !delimited(response) {
 		exchange.Close()
 		return &result{outcome: unknown(fleet.ReasonBroken), message: "the answer's length is not told"}
@@ -203,6 +207,12 @@
 	})
 }
 
+// shed reports whether a backend server says that it refused the request unrun.
+func shed(r *http.Response) bool {
+	return r.StatusCode == http.StatusServiceUnavailable &&
+		fleet.Executed(r.Header.Get(fleet.HeaderExecuted)) == fleet.ExecutedNo
+}
+
 // delimited reports whether the end of an answer can be told from a lost connection.
 func delimited(r *http.Response) bool {
 	if r.ContentLength >= 0 {
