--- /dev/null
+++ b/proof/floor_test.go
@@ -0,0 +1,66 @@
+package proof
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/standin/backend/server"
+)
+
+// pollPeriod is the time between two looks at the nodes' views.
+const pollPeriod = 50 * time.Millisecond
+
+// All backend servers but one are gray: there is evidence to eject more than the
+// floor allows.
+func TestFloor(t *testing.T) {
+	f := start(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var watcher sync.WaitGroup
+	ejected := 0
+	watcher.Go(func() {
+		for ctx.Err() == nil {
+			ejected = max(ejected, f.watchFloor())
+			time.Sleep(pollPeriod)
+		}
+	})
+	f.load(func() {
+		time.Sleep(second)
+		for _, vm := range f.harness.VMs()[1:] {
+			f.faults(vm, server.Faults{Errors: 0.6, Lie: true})
+		}
+		time.Sleep(10 * second)
+	})
+	cancel()
+	watcher.Wait()
+	t.Logf("at most %d backend servers ejected in one node's view", ejected)
+	f.is.True(ejected > 0) // otherwise nothing was checked
+	f.check()
+}
+
+// watchFloor checks each node's view and returns the most ejected in one of them.
+func (f *fixture) watchFloor() int {
+	most := 0
+	for _, vm := range f.harness.VMs() {
+		status, err := f.harness.Status(vm)
+		if err != nil {
+			continue
+		}
+		for _, viewed := range status.GetServices() {
+			ejected := 0
+			for _, backend := range viewed.GetBackends() {
+				if backend.GetHealth() == cowsliptallyv1.HealthState_HEALTH_STATE_EJECTED {
+					ejected++
+				}
+			}
+			most = max(most, ejected)
+			if viewed.GetHealthySlots() < viewed.GetMinHealthySlots() {
+				f.t.Errorf("%s sees %d healthy slots under the floor of %d, %d ejected",
+					vm.NodeName(), viewed.GetHealthySlots(), viewed.GetMinHealthySlots(), ejected)
+			}
+		}
+	}
+	return most
+}
