Make the floor's test fail without the floor

Cause: with four of five servers gray the planted fault (no floor in fold, judge and fold's re-admission) passed: most servers being bad is taken for a slow service. Two gray servers and a floor of four: without the floor 2 are ejected and 12 of 16 slots left (test fails), with it 1. The test package imports the programs' packages, so that their change ends cached results: two planted faults had seemed to pass from the cache.

--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -10,13 +10,19 @@
 	"cowsliptally.example/cowsliptally/standin/backend/server"
 )
 
+// highFloorSlots lets one backend server of all be ejected.
+const highFloorSlots = (servers - 1) * 4
+
 // pollPeriod is the time between two looks at the nodes' views.
 const pollPeriod = 50 * time.Millisecond
 
-// All backend servers but one are gray: there is evidence to eject more than the
-// floor allows.
+// Two backend servers are gray and the floor lets one be ejected.
 func TestFloor(t *testing.T) {
 	f := start(t)
+	verdict, err := f.harness.Propose(context.Background(), f.vm(0), f.putService(highFloorSlots))
+	f.is.NoErr(err)
+	f.is.Equal(verdict.GetRefusal(), "")
+	f.is.NoErr(f.harness.AwaitReady(verdict.GetRevision(), servers, readyTimeout))
 	ctx, cancel := context.WithCancel(context.Background())
 	var watcher sync.WaitGroup
 	ejected := 0
@@ -28,10 +34,10 @@
 	})
 	f.load(func() {
 		time.Sleep(second)
-		for _, vm := range f.harness.VMs()[1:] {
+		for _, vm := range f.harness.VMs()[:2] {
 			f.faults(vm, server.Faults{Errors: 0.6, Lie: true})
 		}
-		time.Sleep(10 * second)
+		time.Sleep(6 * second)
 	})
 	cancel()
 	watcher.Wait()
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -6,6 +6,10 @@
 	"os"
 	"os/exec"
 	"testing"
+
+	// The programs' packages, so that a change of them ends cached results.
+	_ "cowsliptally.example/cowsliptally/command"
+	_ "cowsliptally.example/cowsliptally/standin/logservice/server"
 )
 
 var (
