--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -3,23 +3,53 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"time"
 )
 
-// shutdown stops new work, tells the fleet and waits for requests in flight.
+// refusalTime is how long a node that ends refuses new requests, so that callers
+// go elsewhere before its connections close.
+const refusalTime = 500 * time.Millisecond
+
+// shutdown drains the backend servers, tells the fleet, moves callers to other
+// nodes and waits for requests in flight.
 func (d *Daemon) shutdown(s *servers) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Shutdown)
 	defer cancel()
+	d.leaving.Store(true)
 	d.registrar.DrainAll()
-	d.forwarder.Drain()
 	d.dispatcher.Drain()
 	leaveErr := d.prober.Leave(ctx)
 	if leaveErr != nil {
 		d.logger.Warn("leave", "node", d.self.ID, "err", leaveErr)
 	}
-	s.farewell.wait(ctx)
+	d.linger(ctx, d.set.Linger)
+	d.forwarder.Drain()
+	d.linger(ctx, refusalTime)
 	err := errors.Join(d.forwarder.Shutdown(ctx), d.dispatcher.Shutdown(ctx), s.close(ctx))
 	if err == nil {
 		return nil
 	}
 	return &Error{Operation: "finish requests in flight", Kind: KindShutdown, Err: err}
 }
+
+// linger serves callers a while longer. Each answer closes its connection, so
+// that no caller sends a request over a connection that is about to be closed.
+func (d *Daemon) linger(ctx context.Context, duration time.Duration) {
+	timer := d.clock.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.Chan():
+	}
+}
+
+// closeWhenLeaving makes answers close their connections once the node leaves.
+func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
