--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -23,9 +23,9 @@
 	if leaveErr != nil {
 		d.logger.Warn("leave", "node", d.self.ID, "err", leaveErr)
 	}
-	d.linger(ctx, d.set.Linger)
+	d.linger(ctx)
 	d.forwarder.Drain()
-	d.linger(ctx, refusalTime)
+	d.wait(ctx, refusalTime)
 	err := errors.Join(d.forwarder.Shutdown(ctx), d.dispatcher.Shutdown(ctx), s.close(ctx))
 	if err == nil {
 		return nil
@@ -35,7 +35,10 @@
 
 // linger serves callers a while longer. Each answer closes its connection, so
 // that no caller sends a request over a connection that is about to be closed.
-func (d *Daemon) linger(ctx context.Context, duration time.Duration) {
+func (d *Daemon) linger(ctx context.Context) { d.wait(ctx, d.set.Linger) }
+
+// wait returns after a time, or when ctx is done.
+func (d *Daemon) wait(ctx context.Context, duration time.Duration) {
 	timer := d.clock.NewTimer(duration)
 	defer timer.Stop()
 	select {
