Read and append the fleet's stream through watermill

Cause: the fleet is to be built on watermill; the keeper tailed the log with calls of its own. Ruled out: watermill's in-memory channels inside a node, which bounded rings already serve; a second position store beside the keeper's. Before: tailer alone. Another log service now needs only Append and Read. A keeper test failed once in some ten runs under load: the node that should start without peers was cut off only after its start.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"cowsliptally.example/cowsliptally/ejector"
 	"cowsliptally.example/cowsliptally/fetcher"
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/follower"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/guard"
 	"cowsliptally.example/cowsliptally/journal"
@@ -29,11 +30,13 @@
 	"cowsliptally.example/cowsliptally/operator"
 	"cowsliptally.example/cowsliptally/poisoner"
 	"cowsliptally.example/cowsliptally/prober"
+	"cowsliptally.example/cowsliptally/publisher"
 	"cowsliptally.example/cowsliptally/reconciler"
 	"cowsliptally.example/cowsliptally/registrar"
 	"cowsliptally.example/cowsliptally/roster"
 	"cowsliptally.example/cowsliptally/settings"
 	"cowsliptally.example/cowsliptally/spreader"
+	"cowsliptally.example/cowsliptally/tailer"
 )
 
 // suffixLength is the number of random characters that make a node's identifier
@@ -122,10 +125,12 @@
 
 func (d *Daemon) buildConfiguration() {
 	d.fetcher = fetcher.New(d.self.ID, d.roster.Members, fetcher.WithClient(d.client))
-	d.keeper = keeper.New(logclient.New(logHost(d.set.Log)),
+	client := logclient.New(logHost(d.set.Log))
+	d.keeper = keeper.New(stream{publisher.New(client), client},
 		keeper.WithClock(d.clock),
 		keeper.WithPeers(d.fetcher),
-		keeper.WithRecorder(d.journal))
+		keeper.WithRecorder(d.journal),
+		keeper.WithTail(follower.New(tailer.New(client, tailer.WithClock(d.clock)))))
 	d.operator = operator.New(d.self.ID, d.keeper, d.fetcher, operator.WithClock(d.clock))
 	d.reconciler = reconciler.New(d.self.ID, d.keeper, d.registrar.Local, d.roster.Members,
 		reconciler.WithClock(d.clock))
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -11,7 +12,9 @@
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
 	"cowsliptally.example/cowsliptally/judge"
 	"cowsliptally.example/cowsliptally/keeper"
+	"cowsliptally.example/cowsliptally/logclient"
 	"cowsliptally.example/cowsliptally/prober"
+	"cowsliptally.example/cowsliptally/publisher"
 )
 
 // inFlight counts requests for the registrar, which is built before the dispatcher.
@@ -73,6 +76,17 @@
 	return f.d.keeper.State().Backend(id)
 }
 
+// stream is the log service: appends go through watermill's publisher.
+type stream struct {
+	*publisher.Publisher
+	client *logclient.Client
+}
+
+// Read returns records from an offset on.
+func (s stream) Read(ctx context.Context, name string, from uint64, wait time.Duration) (logclient.Batch, error) {
+	return s.client.Read(ctx, name, from, wait)
+}
+
 // witness gives evidence to other nodes over HealthService.
 type witness struct{ d *Daemon }
 
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -68,7 +68,17 @@
 
 // start adds a node that asks every other node as a peer.
 func (f *nodes) start(name string) *node {
+	return f.launch(name, false)
+}
+
+// startAlone starts a node that reaches no peer from its first moment.
+func (f *nodes) startAlone(name string) *node {
+	return f.launch(name, true)
+}
+
+func (f *nodes) launch(name string, alone bool) *node {
 	n := &node{name: name, port: server.NewPort(f.logs), clock: &jumpClock{Clock: clockwork.NewRealClock()}, kinds: map[fleet.EventKind]int{}}
+	n.alone.Store(alone)
 	n.Keeper = keeper.New(n.port, keeper.WithPeers(peers{f, n}), keeper.WithClock(n.clock), keeper.WithRecorder(n), keeper.WithReadback(f.readback))
 	ctx, cancel := context.WithCancel(f.t.Context())
 	done := make(chan struct{})
--- a/keeper/outage_test.go
+++ b/keeper/outage_test.go
@@ -144,8 +144,7 @@
 			accept(t, f.list()[0], fmt.Sprint("o", i))
 			time.Sleep(time.Second)
 		}
-		fresh := f.start("fresh")
-		fresh.alone.Store(true)
+		fresh := f.startAlone("fresh")
 		within(t, inForceTarget, "a fresh node restores the state from the log alone", fresh.Ready)
 		if revision(fresh) != changes {
 			t.Fatalf("revision %d, want %d", revision(fresh), changes)
@@ -173,8 +172,7 @@
 			accept(t, f.list()[0], fmt.Sprint("o", i))
 		}
 		f.logs.SetFaults(server.Faults{Retain: 5})
-		fresh := f.start("fresh")
-		fresh.alone.Store(true)
+		fresh := f.startAlone("fresh")
 		time.Sleep(time.Minute)
 		if fresh.Ready() || revision(fresh) != 0 || fresh.Status() != keeper.StatusExpired {
 			t.Fatalf("ready %t, revision %d, status %s", fresh.Ready(), revision(fresh), fresh.Status())
--- /dev/null
+++ b/subscriber/subscriber.go
@@ -0,0 +1,80 @@
+// Package subscriber delivers the records of an append-only log service as
+// watermill messages.
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"cowsliptally.example/cowsliptally/logclient"
+	"cowsliptally.example/cowsliptally/publisher"
+	"cowsliptally.example/cowsliptally/tailer"
+)
+
+// errNotTaken makes the tailer deliver a record again.
+var errNotTaken = errors.New("the record was not acknowledged")
+
+// Subscriber implements watermill's message.Subscriber over a tailer. Records
+// come one by one: the next one once the last was acknowledged.
+type Subscriber struct {
+	tail     *tailer.Tailer
+	position tailer.Position
+
+	closing context.CancelFunc
+	closed  context.Context
+	readers sync.WaitGroup
+}
+
+// New returns a subscriber that reads where position says.
+func New(tail *tailer.Tailer, position tailer.Position) *Subscriber {
+	closed, closing := context.WithCancel(context.Background())
+	return &Subscriber{tail: tail, position: position, closing: closing, closed: closed}
+}
+
+// Subscribe delivers the records of a stream until ctx is done or Close is called.
+func (s *Subscriber) Subscribe(ctx context.Context, stream string) (<-chan *message.Message, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.closed, cancel)
+	messages := make(chan *message.Message)
+	s.readers.Go(func() {
+		defer close(messages)
+		defer cancel()
+		defer stop()
+		// The tail ends only with ctx.
+		_ = s.tail.Run(ctx, stream, s.position, func(ctx context.Context, entry logclient.Entry) error {
+			return deliver(ctx, entry, messages)
+		})
+	})
+	return messages, nil
+}
+
+// Close ends all subscriptions.
+func (s *Subscriber) Close() error {
+	s.closing()
+	s.readers.Wait()
+	return nil
+}
+
+// deliver hands over one record and waits until it is acknowledged.
+func deliver(ctx context.Context, entry logclient.Entry, messages chan<- *message.Message) error {
+	m := message.NewMessageWithContext(ctx, watermill.NewUUID(), entry.Payload)
+	m.Metadata.Set(publisher.OffsetKey, strconv.FormatUint(entry.Offset, 10))
+	select {
+	case messages <- m:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-m.Acked():
+		return nil
+	case <-m.Nacked():
+		return errNotTaken
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
