--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 check: install-tools
 	$(LINTER) fmt --diff
 	$(LINTER) run ./...
+	go mod tidy -diff
 	@if command -v buf >/dev/null 2>&1 || [ -x $(GOBIN)/buf ]; then \
 		PATH="$$PATH:$(GOBIN)" buf lint && \
 		PATH="$$PATH:$(GOBIN)" ./tools/generated; \
