--- a/slopes/peer.go
+++ b/slopes/peer.go
@@ -25,6 +25,7 @@
 	registrar *registrar.Registrar
 	prober    *prober.Prober
 	server    *http.Server
+	stop      context.CancelFunc
 }
 
 // peerFleet is a number of peers in this process.
@@ -53,7 +54,8 @@
 	if err != nil {
 		return err
 	}
-	p := &peer{self: sampleMember(i), roster: roster.New()}
+	ctx, stop := context.WithCancel(ctx)
+	p := &peer{self: sampleMember(i), roster: roster.New(), stop: stop}
 	p.self.PeerAddress = listener.Addr().String()
 	p.registrar = registrar.New(p.self.ID, p.self.Zone, registrar.WithDirectory(p.roster))
 	seeds := []string{p.self.PeerAddress}
@@ -76,10 +78,16 @@
 func (f *peerFleet) close() {
 	f.stop()
 	for _, p := range f.peers {
-		_ = p.server.Close()
+		p.kill()
 	}
 }
 
+// kill ends a node without a word.
+func (p *peer) kill() {
+	p.stop()
+	_ = p.server.Close()
+}
+
 // announce enters or renews a backend server of a peer.
 func (p *peer) announce(id fleet.BackendID, service fleet.ServiceName) error {
 	request := connect.NewRequest(&cowsliptallyv1.AnnounceRequest{
--- a/slopes/peers.go
+++ b/slopes/peers.go
@@ -16,6 +16,7 @@
 	// churnInterval is the time between two changes of a fleet under change.
 	churnInterval = time.Second
 	leaveRuns     = 20
+	deathRuns     = 5
 	leavePoll     = time.Millisecond
 	leaveTimeout  = 10 * time.Second
 )
@@ -24,6 +25,7 @@
 type peerCosts struct {
 	restBytes, restTime, churnBytes, churnTime measurement
 	half, most, last                           measurement
+	deaths                                     measurement
 }
 
 // measurePeers measures what membership costs a node in fleets of several sizes,
@@ -38,6 +40,7 @@
 		half:       measurement{name: "leave known, p50", per: "node of the fleet", unit: "ms"},
 		most:       measurement{name: "leave known, p99", per: "node of the fleet", unit: "ms"},
 		last:       measurement{name: "leave known, max", per: "node of the fleet", unit: "ms"},
+		deaths:     measurement{name: "death known everywhere, mean", per: "node of the fleet", unit: "ms"},
 	}
 	for _, n := range []int{8, 16, 32, 64} {
 		if err := costs.measure(n, set.Span); err != nil {
@@ -46,6 +49,7 @@
 	}
 	return []measurement{
 		costs.restBytes, costs.restTime, costs.churnBytes, costs.churnTime, costs.half, costs.most, costs.last,
+		costs.deaths,
 	}, nil
 }
 
@@ -71,9 +75,37 @@
 		_ = node.announce(sampleID(life%n, life), "ledger")
 		life++
 	})
+	return c.measureDeaths(f)
+}
+
+// measureDeaths kills a few nodes one after another and notes when all others know.
+func (c *peerCosts) measureDeaths(f *peerFleet) error {
+	nodes, total := float64(len(f.peers)), time.Duration(0)
+	for range deathRuns {
+		last := len(f.peers) - 1
+		victim := f.peers[last]
+		f.peers = f.peers[:last]
+		victim.kill()
+		start := time.Now()
+		if err := f.await(formTimeout, "a death is known everywhere", func() bool { return f.buried(victim) }); err != nil {
+			return err
+		}
+		total += time.Since(start)
+	}
+	c.deaths.add(nodes, float64(total.Milliseconds())/deathRuns)
 	return nil
 }
 
+// buried reports whether every node sees another as dead.
+func (f *peerFleet) buried(victim *peer) bool {
+	for _, p := range f.peers {
+		if m, _ := p.roster.Member(victim.self.ID); m.State != fleet.MemberDead {
+			return false
+		}
+	}
+	return true
+}
+
 // rate measures bytes and processor time a second and node; change runs each
 // churnInterval.
 func (f *peerFleet) rate(bytes, processor *measurement, span time.Duration, change func()) {
