--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -4,8 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 )
 
+// refusalTime is how long a node that ends refuses new requests, so that callers
+// go elsewhere before its connections close.
+const refusalTime = 500 * time.Millisecond
+
 // shutdown drains the backend servers, tells the fleet, moves callers to other
 // nodes and waits for requests in flight.
 func (d *Daemon) shutdown(s *servers) error {
@@ -19,6 +24,8 @@
 		d.logger.Warn("leave", "node", d.self.ID, "err", leaveErr)
 	}
 	d.linger(ctx)
+	d.forwarder.Drain()
+	d.wait(ctx, refusalTime)
 	err := errors.Join(d.forwarder.Shutdown(ctx), d.dispatcher.Shutdown(ctx), s.close(ctx))
 	if err == nil {
 		return nil
@@ -28,8 +35,11 @@
 
 // linger serves callers a while longer. Each answer closes its connection, so
 // that no caller sends a request over a connection that is about to be closed.
-func (d *Daemon) linger(ctx context.Context) {
-	timer := d.clock.NewTimer(d.set.Linger)
+func (d *Daemon) linger(ctx context.Context) { d.wait(ctx, d.set.Linger) }
+
+// wait returns after a time, or when ctx is done.
+func (d *Daemon) wait(ctx context.Context, duration time.Duration) {
+	timer := d.clock.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
