Wait for a node's end longer than the node's own limit

Cause: TestSilentConnections failed once in the full run with -race because a node took more than 12 s to end after all its connections had gone silent; its own limit for requests in flight is 30 s. Before: the rig killed it after 12 s and failed. After: 40 s, above the stated limit. Left: why silent connections hold a node's end up.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// endTimeout bounds the graceful end of one process when all are stopped. HTTP
-// servers wait up to 5 s for connections on which no request was sent.
-const endTimeout = 12 * time.Second
+// endTimeout bounds the graceful end of one process when all are stopped; it is
+// above a node's own limit for requests in flight.
+const endTimeout = 40 * time.Second
 
 // Launcher starts processes and ends all that still run.
 type Launcher struct {
