Say why a request's context ended in one place

Cause: forwarder and dispatcher each held the same endReason, letter for letter. Ruled out: sharing the options of both, which are alike in shape only and set different types; dropping the prober's FetchState, which the daemon overrides with the keeper's, for that changes an interface and its tests. Before: two copies. Conclusion: a new way for a request to end has one place to go.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -85,7 +85,7 @@
 // begin checks all that may have changed while the attempt waited, then counts it as dispatched.
 func (a *attempt) begin(ctx context.Context) fleet.Outcome {
 	if ctx.Err() != nil {
-		return refused(endReason(ctx))
+		return refused(fleet.EndReason(ctx))
 	}
 	if _, reason := a.dispatcher.available(a.call); reason != "" {
 		return refused(reason)
@@ -172,7 +172,7 @@
 	reason := fleet.ReasonConnect
 	switch {
 	case ctx.Err() != nil:
-		reason = endReason(ctx)
+		reason = fleet.EndReason(ctx)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		a.dispatcher.locals.Crashed(a.backend.ID)
 	}
@@ -182,7 +182,7 @@
 // lost says what became of an attempt that reached the backend server.
 func (a *attempt) lost(ctx context.Context, err error) *result {
 	if ctx.Err() != nil {
-		return &result{outcome: unknown(endReason(ctx)), message: "the time limit passed or the caller left"}
+		return &result{outcome: unknown(fleet.EndReason(ctx)), message: "the time limit passed or the caller left"}
 	}
 	if fault.KindOf[pooler.Kind](err) == pooler.KindSilent {
 		return &result{outcome: unknown(fleet.ReasonSilent), message: err.Error()}
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -57,7 +56,7 @@
 		delete(g.waiters, id)
 		g.admitter.Cancel(id)
 	}
-	return id, endReason(ctx)
+	return id, fleet.EndReason(ctx)
 }
 
 // occupy notes which request is in a slot.
@@ -155,14 +154,6 @@
 	}
 }
 
-// endReason says whether a context ended by its deadline or by its caller.
-func endReason(ctx context.Context) fleet.Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return fleet.ReasonDeadline
-	}
-	return fleet.ReasonCancelled
-}
-
 // slotCount returns the announced slots.
 func (g *gate) slotCount() int {
 	g.mu.Lock()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -56,7 +55,7 @@
 
 func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int) *result {
 	if ctx.Err() != nil {
-		return refused(endReason(ctx), "the time limit passed before the request was sent")
+		return refused(fleet.EndReason(ctx), "the time limit passed before the request was sent")
 	}
 	ticket := f.tickets.get(owner.ID)
 	request := f.outgoing(ctx, s, backend, owner, number, ticket)
@@ -144,7 +143,7 @@
 	if err != nil {
 		exchange.Close()
 		if ctx.Err() != nil {
-			return unknown(endReason(ctx), err.Error())
+			return unknown(fleet.EndReason(ctx), err.Error())
 		}
 		return unknown(fleet.ReasonBroken, err.Error())
 	}
@@ -226,7 +225,7 @@
 // failureReason says why an exchange ended without an answer.
 func failureReason(ctx context.Context, err error) fleet.Reason {
 	if ctx.Err() != nil {
-		return endReason(ctx)
+		return fleet.EndReason(ctx)
 	}
 	switch fault.KindOf[pooler.Kind](err) {
 	case pooler.KindSilent:
@@ -237,11 +236,3 @@
 		return fleet.ReasonBroken
 	}
 }
-
-// endReason says whether a context ended by its deadline or by its caller.
-func endReason(ctx context.Context) fleet.Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return fleet.ReasonDeadline
-	}
-	return fleet.ReasonCancelled
-}
