--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -18,7 +18,7 @@
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
-	"cowsliptally.example/cowsliptally/journal"
+	"cowsliptally.example/cowsliptally/recorder"
 )
 
 // fakeNode answers status and revisions with fixed values.
@@ -40,11 +40,11 @@
 // startNode serves a journal with one ejection and returns the address.
 func startNode(t *testing.T, node *fakeNode) (address string) {
 	t.Helper()
-	events := journal.New("n1")
+	events := recorder.New("n1")
 	events.Record(fleet.NewEvent(fleet.EventEjection, "b1", "slow").WithService("ledger"))
 	events.Record(fleet.NewEvent(fleet.EventRefusal, "r1", "busy").WithService("intake"))
 	mux := http.NewServeMux()
-	mux.Handle(journal.NewHandler(events, node))
+	mux.Handle(recorder.NewHandler(events, node))
 	mux.Handle(cowsliptallyv1connect.NewOperatorServiceHandler(node))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"cowsliptally.example/cowsliptally/follower"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/guard"
-	"cowsliptally.example/cowsliptally/journal"
+	"cowsliptally.example/cowsliptally/recorder"
 	"cowsliptally.example/cowsliptally/judge"
 	"cowsliptally.example/cowsliptally/keeper"
 	"cowsliptally.example/cowsliptally/logclient"
@@ -53,7 +53,7 @@
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
 
-	journal      *journal.Journal
+	journal      *recorder.Recorder
 	keeper       *keeper.Keeper
 	fetcher      *fetcher.Fetcher
 	operator     *operator.Operator
@@ -93,7 +93,7 @@
 		Region:        fleet.Region(set.Region),
 		State:         fleet.MemberAlive,
 	}
-	d.journal = journal.New(d.self.ID, journal.WithClock(d.clock), journal.WithLogger(d.logger))
+	d.journal = recorder.New(d.self.ID, recorder.WithClock(d.clock), recorder.WithLogger(d.logger))
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildHealth()
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -13,7 +13,7 @@
 
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
-	"cowsliptally.example/cowsliptally/journal"
+	"cowsliptally.example/cowsliptally/recorder"
 )
 
 const (
@@ -108,7 +108,7 @@
 	mount(router)(cowsliptallyv1connect.NewOperatorServiceHandler(d.operator))
 	mount(router)(cowsliptallyv1connect.NewRequestServiceHandler(d.dispatcher))
 	mount(router)(cowsliptallyv1connect.NewHealthServiceHandler(d.ejector))
-	mount(router)(journal.NewHandler(d.journal, d))
+	mount(router)(recorder.NewHandler(d.journal, d))
 	return router
 }
 
--- a/journal/handler.go
+++ b/recorder/handler.go
@@ -1,4 +1,4 @@
-package journal
+package recorder
 
 import (
 	"context"
@@ -22,12 +22,12 @@
 
 // handler answers the JournalService.
 type handler struct {
-	journal *Journal
+	journal *Recorder
 	status  Status
 }
 
 // NewHandler returns the path and the HTTP handler of the JournalService.
-func NewHandler(journal *Journal, status Status, options ...connect.HandlerOption) (string, http.Handler) {
+func NewHandler(journal *Recorder, status Status, options ...connect.HandlerOption) (string, http.Handler) {
 	return cowsliptallyv1connect.NewJournalServiceHandler(&handler{journal, status}, options...)
 }
 
--- a/journal/journal.go
+++ b/recorder/recorder.go
@@ -1,4 +1,4 @@
-package journal
+package recorder
 
 import (
 	"sync"
@@ -14,8 +14,8 @@
 // and, apart from them, of single requests.
 const DefaultCapacity = 4096
 
-// Journal records events. It is safe for concurrent use.
-type Journal struct {
+// Recorder records events. It is safe for concurrent use.
+type Recorder struct {
 	node     fleet.NodeID
 	clock    clockwork.Clock
 	logger   *log.Logger
@@ -30,56 +30,56 @@
 	requests  *window
 }
 
-// Option changes a setting of a journal.
-type Option func(*Journal)
+// Option changes a setting of a recorder.
+type Option func(*Recorder)
 
 // WithCapacity sets how many entries are kept of either sort; older ones are overwritten.
-func WithCapacity(entries int) Option { return func(j *Journal) { j.capacity = max(entries, 1) } }
+func WithCapacity(entries int) Option { return func(r *Recorder) { r.capacity = max(entries, 1) } }
 
 // WithClock sets the clock that stamps events.
-func WithClock(clock clockwork.Clock) Option { return func(j *Journal) { j.clock = clock } }
+func WithClock(clock clockwork.Clock) Option { return func(r *Recorder) { r.clock = clock } }
 
 // WithLogger sets where the log lines go; without one none are written.
-func WithLogger(logger *log.Logger) Option { return func(j *Journal) { j.logger = logger } }
+func WithLogger(logger *log.Logger) Option { return func(r *Recorder) { r.logger = logger } }
 
 // WithRegistry sets the registry that holds the counters.
 func WithRegistry(registry metrics.Registry) Option {
-	return func(j *Journal) { j.registry = registry }
+	return func(r *Recorder) { r.registry = registry }
 }
 
-// New returns an empty journal of a node.
-func New(node fleet.NodeID, options ...Option) *Journal {
-	j := &Journal{
+// New returns an empty recorder of a node.
+func New(node fleet.NodeID, options ...Option) *Recorder {
+	r := &Recorder{
 		node: node, clock: clockwork.NewRealClock(),
 		registry: metrics.NewRegistry(), capacity: DefaultCapacity,
 	}
 	for _, option := range options {
-		option(j)
+		option(r)
 	}
-	j.decisions = newWindow(j.capacity)
-	j.requests = newWindow(j.capacity)
-	return j
+	r.decisions = newWindow(r.capacity)
+	r.requests = newWindow(r.capacity)
+	return r
 }
 
 // Registry returns the registry that holds the counters.
-func (j *Journal) Registry() metrics.Registry { return j.registry }
+func (r *Recorder) Registry() metrics.Registry { return r.registry }
 
 // Record stamps an event with time, node and sequence, and enters it.
-func (j *Journal) Record(event fleet.Event) {
-	event = j.enter(event)
-	metrics.GetOrRegisterCounter(counterName(event), j.registry).Inc(1)
-	if j.logger != nil {
-		j.logger.Info(string(event.Kind), fields(event)...)
+func (r *Recorder) Record(event fleet.Event) {
+	event = r.enter(event)
+	metrics.GetOrRegisterCounter(counterName(event), r.registry).Inc(1)
+	if r.logger != nil {
+		r.logger.Info(string(event.Kind), fields(event)...)
 	}
 }
 
 // Events returns the entries that match, oldest first. Empty arguments match
 // everything; limit 0 returns all, otherwise the newest.
-func (j *Journal) Events(subject string, service fleet.ServiceName, limit int) []fleet.Event {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+func (r *Recorder) Events(subject string, service fleet.ServiceName, limit int) []fleet.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var matching []fleet.Event
-	for _, event := range merge(j.decisions.ordered(), j.requests.ordered()) {
+	for _, event := range merge(r.decisions.ordered(), r.requests.ordered()) {
 		if subject != "" && event.Subject != subject {
 			continue
 		}
@@ -95,23 +95,23 @@
 }
 
 // enter adds a stamped event to the journal and returns it.
-func (j *Journal) enter(event fleet.Event) fleet.Event {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.sequence++
-	event.Time = j.clock.Now()
-	event.Node = j.node
-	event.Sequence = j.sequence
-	j.windowOf(event.Kind).add(event)
+func (r *Recorder) enter(event fleet.Event) fleet.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	event.Time = r.clock.Now()
+	event.Node = r.node
+	event.Sequence = r.sequence
+	r.windowOf(event.Kind).add(event)
 	return event
 }
 
 // windowOf returns the window that keeps events of a kind.
-func (j *Journal) windowOf(kind fleet.EventKind) *window {
+func (r *Recorder) windowOf(kind fleet.EventKind) *window {
 	switch kind {
 	case fleet.EventRefusal, fleet.EventRetry, fleet.EventSealed:
-		return j.requests
+		return r.requests
 	default:
-		return j.decisions
+		return r.decisions
 	}
 }
--- a/journal/window.go
+++ b/recorder/window.go
@@ -1,4 +1,4 @@
-package journal
+package recorder
 
 import "cowsliptally.example/cowsliptally/fleet"
 
