--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -66,6 +66,9 @@
 	if len(a.running) < a.slots && len(a.waiting) == 0 {
 		return append(decisions, a.run(r, now))
 	}
+	if r.Impatient {
+		return append(decisions, refusal(r.ID, fleet.ReasonBusy))
+	}
 	a.waiting = append(a.waiting, r)
 	decisions = append(decisions, a.shed(now)...)
 	for _, d := range decisions {
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -18,4 +18,6 @@
 	Weight int
 	// Deadline is the time after which an answer is worthless.
 	Deadline time.Time
+	// Impatient work is refused when no slot is free.
+	Impatient bool
 }
--- /dev/null
+++ b/avoider/avoider.go
@@ -0,0 +1,97 @@
+// Package avoider remembers which nodes this node could not reach of late, so that
+// requests go round a broken path before membership knows of it.
+package avoider
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// firstHold is how long a node is avoided after its first failure: about the time
+	// in which a killed process is back.
+	firstHold = 500 * time.Millisecond
+	// maxHold bounds the hold, which doubles with each failure; membership knows of
+	// a dead node by then.
+	maxHold = 4 * time.Second
+)
+
+// Avoider holds the nodes to avoid. It is safe for concurrent use.
+type Avoider struct {
+	clock clockwork.Clock
+
+	mu    sync.Mutex
+	holds map[fleet.NodeID]hold
+}
+
+// hold is one node to avoid.
+type hold struct {
+	length time.Duration
+	until  time.Time
+}
+
+// New returns an avoider that avoids no node.
+func New(clock clockwork.Clock) *Avoider {
+	return &Avoider{clock: clock, holds: make(map[fleet.NodeID]hold)}
+}
+
+// Failed tells that a node could not be reached. Failures during a hold count once.
+func (a *Avoider) Failed(node fleet.NodeID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	h := a.holds[node]
+	if now.Before(h.until) {
+		return
+	}
+	h.length = min(max(firstHold, 2*h.length), maxHold)
+	h.until = now.Add(h.length)
+	a.holds[node] = h
+}
+
+// Reached tells that a node answered.
+func (a *Avoider) Reached(node fleet.NodeID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.holds, node)
+}
+
+// Avoided reports whether a node is to be avoided at present.
+func (a *Avoider) Avoided(node fleet.NodeID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h, found := a.holds[node]
+	return found && a.clock.Now().Before(h.until)
+}
+
+// Among returns the backend servers of nodes to avoid, or nil when there are none.
+func (a *Avoider) Among(backends []fleet.Backend) []fleet.BackendID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.holds) == 0 {
+		return nil
+	}
+	now := a.clock.Now()
+	var avoided []fleet.BackendID
+	for _, backend := range backends {
+		if h, found := a.holds[backend.Owner]; found && now.Before(h.until) {
+			avoided = append(avoided, backend.ID)
+		}
+	}
+	return avoided
+}
+
+// Forget drops holds that ended long ago.
+func (a *Avoider) Forget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for node, h := range a.holds {
+		if a.clock.Since(h.until) > maxHold {
+			delete(a.holds, node)
+		}
+	}
+}
--- a/configfile/describe.go
+++ b/configfile/describe.go
@@ -60,21 +60,38 @@
 	for i := range all.Len() {
 		field := all.Get(i)
 		name := prefix + string(field.Name())
-		if field.Kind() == protoreflect.MessageKind {
+		if field.Kind() == protoreflect.MessageKind && !field.IsList() {
 			lines = append(lines, fields(name+".", inner(before, field), after.Get(field).Message())...)
 			continue
 		}
 		value := after.Get(field)
 		switch {
 		case before == nil && after.Has(field):
-			lines = append(lines, fmt.Sprintf("%s=%v", name, value))
+			lines = append(lines, name+"="+text(field, value))
 		case before != nil && !before.Get(field).Equal(value):
-			lines = append(lines, fmt.Sprintf("%s=%v->%v", name, before.Get(field), value))
+			lines = append(lines, name+"="+text(field, before.Get(field))+"->"+text(field, value))
 		}
 	}
 	return lines
 }
 
+// text writes a value; the entries of a list are joined by commas.
+func text(field protoreflect.FieldDescriptor, value protoreflect.Value) string {
+	if !field.IsList() {
+		return value.String()
+	}
+	var entries []string
+	for i := range value.List().Len() {
+		entry := value.List().Get(i)
+		if field.Kind() != protoreflect.MessageKind {
+			entries = append(entries, entry.String())
+			continue
+		}
+		entries = append(entries, "{"+strings.Join(fields("", nil, entry.Message()), " ")+"}")
+	}
+	return "[" + strings.Join(entries, ",") + "]"
+}
+
 func inner(before protoreflect.Message, field protoreflect.FieldDescriptor) protoreflect.Message {
 	if before == nil {
 		return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/adopter"
 	"cowsliptally.example/cowsliptally/balancer"
 	"cowsliptally.example/cowsliptally/checkpointer"
 	"cowsliptally.example/cowsliptally/dispatcher"
@@ -22,17 +25,19 @@
 	"cowsliptally.example/cowsliptally/follower"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/guard"
-	"cowsliptally.example/cowsliptally/recorder"
 	"cowsliptally.example/cowsliptally/judge"
 	"cowsliptally.example/cowsliptally/keeper"
 	"cowsliptally.example/cowsliptally/logclient"
 	"cowsliptally.example/cowsliptally/messenger"
 	"cowsliptally.example/cowsliptally/operator"
 	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/pooler"
 	"cowsliptally.example/cowsliptally/prober"
 	"cowsliptally.example/cowsliptally/publisher"
 	"cowsliptally.example/cowsliptally/reconciler"
+	"cowsliptally.example/cowsliptally/recorder"
 	"cowsliptally.example/cowsliptally/registrar"
+	"cowsliptally.example/cowsliptally/retrier"
 	"cowsliptally.example/cowsliptally/roster"
 	"cowsliptally.example/cowsliptally/settings"
 	"cowsliptally.example/cowsliptally/spreader"
@@ -43,6 +48,16 @@
 // differ from that of its earlier starts.
 const suffixLength = 8
 
+// maxAttempts bounds the attempts of one request where an allowance bounds those
+// that reach backend servers; the others cost a message each.
+const maxAttempts = 8
+
+// configurations is the part that holds the configuration in force.
+type configurations interface {
+	Configuration() fleet.Configuration
+	Ready() bool
+}
+
 // Daemon is one node.
 type Daemon struct {
 	set    settings.Node
@@ -53,33 +68,44 @@
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
 
-	journal      *recorder.Recorder
-	keeper       *keeper.Keeper
-	fetcher      *fetcher.Fetcher
-	operator     *operator.Operator
-	reconciler   *reconciler.Reconciler
-	checkpointer *checkpointer.Checkpointer
-	roster       *roster.Roster
-	registrar    *registrar.Registrar
-	prober       *prober.Prober
-	judge        *judge.Judge
-	balancer     *balancer.Balancer
-	ejector      *ejector.Ejector
-	poisoner     *poisoner.Poisoner
-	guard        *guard.Guard
-	memory       *accountant.Accountant
-	spreader     *spreader.Spreader
-	forwarder    *forwarder.Forwarder
-	dispatcher   *dispatcher.Dispatcher
+	// source holds the configuration when it does not come from the log service.
+	source     adopter.Source
+	discover   func(context.Context) ([]string, error)
+	dialect    dispatcher.Dialect
+	allowance  func(nodes int) retrier.Allowance
+	wrapCaller func(http.Handler) http.Handler
+
+	journal *recorder.Recorder
+	// configurations is the keeper, or the adopter when there is a source.
+	configurations configurations
+	adopter        *adopter.Adopter
+	keeper         *keeper.Keeper
+	fetcher        *fetcher.Fetcher
+	operator       *operator.Operator
+	reconciler     *reconciler.Reconciler
+	checkpointer   *checkpointer.Checkpointer
+	roster         *roster.Roster
+	registrar      *registrar.Registrar
+	prober         *prober.Prober
+	judge          *judge.Judge
+	balancer       *balancer.Balancer
+	ejector        *ejector.Ejector
+	poisoner       *poisoner.Poisoner
+	guard          *guard.Guard
+	memory         *accountant.Accountant
+	spreader       *spreader.Spreader
+	forwarder      *forwarder.Forwarder
+	dispatcher     *dispatcher.Dispatcher
 }
 
 // New returns a node with checked settings; Run starts it.
 func New(set settings.Node, options ...Option) *Daemon {
 	d := &Daemon{
-		set:    set,
-		clock:  clockwork.NewRealClock(),
-		logger: log.New(io.Discard),
-		client: newClient(),
+		set:        set,
+		clock:      clockwork.NewRealClock(),
+		logger:     log.New(io.Discard),
+		client:     newClient(),
+		wrapCaller: func(callers http.Handler) http.Handler { return callers },
 	}
 	for _, option := range options {
 		option(d)
@@ -112,6 +138,7 @@
 		registrar.WithClock(d.clock),
 		registrar.WithCounter(inFlight{d}),
 		registrar.WithDirectory(d.roster),
+		registrar.WithLease(d.set.Lease),
 		registrar.WithJournal(d.journal))
 	d.prober = prober.New(d.self, d.roster, messenger.New(messenger.WithHTTPClient(d.client)),
 		prober.WithClock(d.clock),
@@ -124,6 +151,14 @@
 }
 
 func (d *Daemon) buildConfiguration() {
+	if d.source != nil {
+		d.adopter = adopter.New(d.self.ID, d.source,
+			adopter.WithClock(d.clock),
+			adopter.WithPeers(adopter.NewPeers(d.client), d.roster.Members),
+			adopter.WithRecorder(d.journal))
+		d.configurations = d.adopter
+		return
+	}
 	d.fetcher = fetcher.New(d.self.ID, d.roster.Members, fetcher.WithClient(d.client))
 	client := logclient.New(logHost(d.set.Log))
 	d.keeper = keeper.New(stream{publisher.New(client), client},
@@ -131,6 +166,7 @@
 		keeper.WithPeers(d.fetcher),
 		keeper.WithRecorder(d.journal),
 		keeper.WithTail(follower.New(tailer.New(client, tailer.WithClock(d.clock)))))
+	d.configurations = d.keeper
 	d.operator = operator.New(d.self.ID, d.keeper, d.fetcher, operator.WithClock(d.clock))
 	d.reconciler = reconciler.New(d.self.ID, d.keeper, d.registrar.Local, d.roster.Members,
 		reconciler.WithClock(d.clock))
@@ -144,11 +180,14 @@
 		judge.WithClock(d.clock),
 		judge.WithDirectory(d.roster),
 		judge.WithEjections(facts{d}),
-		judge.WithSettings(d.keeper))
+		judge.WithSettings(d.configurations))
 	d.balancer = balancer.New(
 		balancer.WithClock(d.clock),
 		balancer.WithVerdicts(d.judge),
 		balancer.WithZone(d.self.Zone))
+	if d.source != nil {
+		return
+	}
 	d.ejector = ejector.New(d.self.ID, d.judge,
 		ejector.WithAppender(d.keeper),
 		ejector.WithClock(d.clock),
@@ -164,30 +203,91 @@
 	d.poisoner = poisoner.New(d.clock)
 	d.memory = accountant.New(d.set.Memory)
 	d.spreader = spreader.New(d.self.ID, d.roster, d.client, spreader.WithClock(d.clock))
-	d.forwarder = forwarder.New(d.self.ID, d.keeper, d.roster, d.balancer,
+	d.forwarder = forwarder.New(d.self.ID, d.configurations, d.roster, d.balancer, d.forwarderOptions()...)
+	d.dispatcher = dispatcher.New(d.self.ID, d.registrar, d.dispatcherOptions()...)
+}
+
+func (d *Daemon) forwarderOptions() []forwarder.Option {
+	options := []forwarder.Option{
 		forwarder.WithAnswerBound(d.set.MaxAnswer),
 		forwarder.WithBodyBound(d.set.MaxBody),
 		forwarder.WithClock(d.clock),
+		forwarder.WithGlances(d.set.Glances),
 		forwarder.WithGuard(d.guard),
 		forwarder.WithMemory(d.memory),
 		forwarder.WithObserver(observer{d.judge}),
+		forwarder.WithPooler(d.newPooler(forwarder.DefaultProgress, d.set.PeerIdle)),
 		forwarder.WithPoisoner(d.poisoner),
 		forwarder.WithRecorder(d.journal),
-		forwarder.WithTimeout(d.set.Timeout))
-	d.dispatcher = dispatcher.New(d.self.ID, d.registrar,
+		forwarder.WithTimeout(d.set.Timeout),
+	}
+	if d.set.RepeatErrors {
+		options = append(options, forwarder.WithRepeatErrors())
+	}
+	if d.allowance != nil {
+		options = append(options, forwarder.WithRetrier(retrier.New(
+			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.liveNodes()) }),
+			retrier.WithAttempts(maxAttempts),
+			retrier.WithClock(d.clock))))
+	}
+	return options
+}
+
+func (d *Daemon) dispatcherOptions() []dispatcher.Option {
+	options := []dispatcher.Option{
 		dispatcher.WithAnswerBound(d.set.MaxAnswer),
 		dispatcher.WithBodyBound(d.set.MaxBody),
 		dispatcher.WithClock(d.clock),
-		dispatcher.WithConfigurations(d.keeper),
+		dispatcher.WithConfigurations(d.configurations),
 		dispatcher.WithGuard(d.guard),
 		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
 		dispatcher.WithObserver(observer{d.judge}),
+		dispatcher.WithPooler(d.newPooler(dispatcher.DefaultProgress, d.set.BackendIdle)),
 		dispatcher.WithPoisoner(d.poisoner),
 		dispatcher.WithRecorder(d.journal),
-		dispatcher.WithSuspects(d.spreader))
+		dispatcher.WithSuspects(d.spreader),
+	}
+	if d.dialect != nil {
+		options = append(options, dispatcher.WithDialect(d.dialect))
+	}
+	if d.set.Undelimited {
+		options = append(options, dispatcher.WithUndelimited())
+	}
+	return options
 }
 
+func (d *Daemon) newPooler(progress, idle time.Duration) *pooler.Pooler {
+	return pooler.New(
+		pooler.WithClock(d.clock),
+		pooler.WithDialTimeout(d.set.DialTimeout),
+		pooler.WithIdleTimeout(idle),
+		pooler.WithProgress(progress))
+}
+
+// liveNodes returns the number of nodes that serve, this one included.
+func (d *Daemon) liveNodes() int {
+	count := 0
+	for _, member := range d.roster.Members() {
+		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
+// Ready reports whether the node can serve callers: it knows a configuration and
+// the fleet, and does not shut down.
+func (d *Daemon) Ready() bool {
+	return d.configurations.Ready() && d.prober.Joined() && !d.leaving.Load()
+}
+
+// Registrar returns the part that backend servers of this VM announce themselves to.
+func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
+
+// Registry returns the metrics.
+func (d *Daemon) Registry() metrics.Registry { return d.journal.Registry() }
+
 // logHost returns the IP and port of the log service's checked address.
 func logHost(address string) string {
 	parsed, err := url.Parse(address)
--- a/daemon/duty.go
+++ b/daemon/duty.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"cowsliptally.example/cowsliptally/judge"
 )
 
 // duty is one lasting task with a goroutine of its own.
@@ -12,16 +14,48 @@
 }
 
 func (d *Daemon) duties() []duty {
-	return []duty{
-		{"keeper", d.keeper.Run},
-		{"reconciler", d.reconciler.Run},
-		{"checkpointer", d.checkpointer.Run},
+	duties := []duty{
 		{"registrar", d.registrar.Run},
-		{"prober", d.prober.Run},
-		{"ejector", d.ejector.Run},
+		{"prober", d.runProber},
 		{"spreader", d.spreader.Run},
 		{"dispatcher", d.dispatcher.Run},
 	}
+	if d.source != nil {
+		return append(duties, duty{"adopter", d.adopter.Run}, duty{"judge", d.runJudge})
+	}
+	return append(duties,
+		duty{"keeper", d.keeper.Run},
+		duty{"reconciler", d.reconciler.Run},
+		duty{"checkpointer", d.checkpointer.Run},
+		duty{"ejector", d.ejector.Run})
+}
+
+// runProber finds other nodes, where a directory tells of them, and joins the fleet.
+func (d *Daemon) runProber(ctx context.Context) error {
+	if d.discover != nil {
+		addresses, err := d.discover(ctx)
+		if err != nil {
+			return err
+		}
+		d.prober.AddSeeds(addresses...)
+	}
+	return d.prober.Run(ctx)
+}
+
+// runJudge lets verdicts follow the time where no ejector does.
+func (d *Daemon) runJudge(ctx context.Context) error {
+	ticker := d.clock.NewTicker(judge.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			for _, event := range d.judge.Tick(d.clock.Now()) {
+				d.journal.Record(event)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // startDuties starts every duty with a context of their own, which stop ends:
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -25,22 +25,32 @@
 	return c.d.dispatcher.InFlight(id)
 }
 
-// progress joins the prober with the keeper, which is built later.
+// progress joins the prober with the keeper or the adopter, which are built later.
 type progress struct{ d *Daemon }
 
 // Known returns the revision in force and the first offset not folded here.
 func (p progress) Known() (revision fleet.Revision, nextOffset uint64) {
+	if p.d.source != nil {
+		return p.d.adopter.Document().Revision, 0
+	}
 	state := p.d.keeper.State()
 	return state.Configuration().Revision(), state.NextOffset()
 }
 
-// Heard tells the keeper how far another node is.
-func (p progress) Heard(_ fleet.Member, _ fleet.Revision, nextOffset uint64) {
+// Heard tells the keeper or the adopter how far another node is.
+func (p progress) Heard(from fleet.Member, revision fleet.Revision, nextOffset uint64) {
+	if p.d.source != nil {
+		p.d.adopter.Heard(from, revision)
+		return
+	}
 	p.d.keeper.Notice(nextOffset)
 }
 
 // FetchState returns the folded state, or nil when it covers no more than known.
 func (p progress) FetchState(_ context.Context, known uint64) (*cowsliptallyv1.Checkpoint, error) {
+	if p.d.source != nil {
+		return nil, nil
+	}
 	state := p.d.keeper.State()
 	if state.NextOffset() <= known {
 		return nil, nil
@@ -63,11 +73,15 @@
 	return opinion.Nats
 }
 
-// facts gives what the fleet agreed on, from the newest fold.
+// facts gives what the fleet agreed on, from the newest fold; without a log service
+// there is nothing to agree on.
 type facts struct{ d *Daemon }
 
 // Ejected returns the accepted ejection of a backend server.
 func (f facts) Ejected(id fleet.BackendID) (*cowsliptallyv1.Ejection, bool) {
+	if f.d.keeper == nil {
+		return nil, false
+	}
 	return f.d.keeper.State().Ejected(id)
 }
 
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -1,8 +1,15 @@
 package daemon
 
 import (
+	"context"
+	"net/http"
+
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/adopter"
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/retrier"
 )
 
 // Option changes a setting of a Daemon.
@@ -17,3 +24,31 @@
 func WithLogger(logger *log.Logger) Option {
 	return func(d *Daemon) { d.logger = logger }
 }
+
+// WithSource takes the configuration from a source outside the fleet. The node then
+// writes nothing to a log service: operators' proposals and agreed ejections are off,
+// and each node trusts its own verdicts and those of owners.
+func WithSource(source adopter.Source) Option {
+	return func(d *Daemon) { d.source = source }
+}
+
+// WithDiscovery sets what finds the peer addresses of other nodes at the start. It
+// returns once it knows them or ctx is done.
+func WithDiscovery(discover func(context.Context) ([]string, error)) Option {
+	return func(d *Daemon) { d.discover = discover }
+}
+
+// WithDialect sets the headers of backend servers; without it they are the fleet's own.
+func WithDialect(dialect dispatcher.Dialect) Option {
+	return func(d *Daemon) { d.dialect = dialect }
+}
+
+// WithAllowance sets this node's part of the fleet's retries, given the number of live nodes.
+func WithAllowance(allowance func(nodes int) retrier.Allowance) Option {
+	return func(d *Daemon) { d.allowance = allowance }
+}
+
+// WithCallers wraps the handler of callers' requests.
+func WithCallers(wrap func(http.Handler) http.Handler) Option {
+	return func(d *Daemon) { d.wrapCaller = wrap }
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -96,7 +96,7 @@
 func (d *Daemon) callerRouter() http.Handler {
 	router := chi.NewRouter()
 	router.Use(d.closeWhenLeaving)
-	router.Handle("/*", d.forwarder)
+	router.Handle("/*", d.wrapCaller(d.forwarder))
 	return router
 }
 
@@ -104,11 +104,16 @@
 	router := chi.NewRouter()
 	router.Handle(dispatcher.PathPrefix+"/*", d.dispatcher)
 	mount(router)(cowsliptallyv1connect.NewBackendServiceHandler(d.registrar))
+	mount(router)(cowsliptallyv1connect.NewRequestServiceHandler(d.dispatcher))
+	mount(router)(recorder.NewHandler(d.journal, d))
+	if d.source != nil {
+		mount(router)(cowsliptallyv1connect.NewPeerServiceHandler(d.prober))
+		mount(router)(cowsliptallyv1connect.NewConfigurationServiceHandler(d.adopter))
+		return router
+	}
 	mount(router)(cowsliptallyv1connect.NewPeerServiceHandler(peerService{d.prober, d.keeper}))
 	mount(router)(cowsliptallyv1connect.NewOperatorServiceHandler(d.operator))
-	mount(router)(cowsliptallyv1connect.NewRequestServiceHandler(d.dispatcher))
 	mount(router)(cowsliptallyv1connect.NewHealthServiceHandler(d.ejector))
-	mount(router)(recorder.NewHandler(d.journal, d))
 	return router
 }
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -3,19 +3,22 @@
 import (
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/keeper"
 	"cowsliptally.example/cowsliptally/translator"
 )
 
 // Status returns this node's view of the fleet.
 func (d *Daemon) Status() *cowsliptallyv1.GetStatusResponse {
-	state := d.keeper.State()
+	configuration := d.configurations.Configuration()
 	response := &cowsliptallyv1.GetStatusResponse{
-		Node:       string(d.self.ID),
-		Revision:   uint64(state.Configuration().Revision()),
-		NextOffset: state.NextOffset(),
-		Log:        string(d.keeper.Status()),
+		Node:     string(d.self.ID),
+		Revision: uint64(configuration.Revision()),
+		Log:      string(d.logStatus()),
 	}
-	for _, service := range state.Configuration().Services() {
+	if d.keeper != nil {
+		response.NextOffset = d.keeper.State().NextOffset()
+	}
+	for _, service := range configuration.Services() {
 		response.Services = append(response.Services, d.serviceStatus(service))
 	}
 	for _, member := range d.roster.Members() {
@@ -24,6 +27,18 @@
 	return response
 }
 
+// logStatus tells whether the log service or the configuration's source can be reached.
+func (d *Daemon) logStatus() keeper.Status {
+	switch {
+	case d.keeper != nil:
+		return d.keeper.Status()
+	case d.adopter.Reachable():
+		return keeper.StatusUp
+	default:
+		return keeper.StatusDown
+	}
+}
+
 func (d *Daemon) serviceStatus(service fleet.Service) *cowsliptallyv1.ServiceStatus {
 	status := &cowsliptallyv1.ServiceStatus{
 		Name:            string(service.Name),
@@ -44,7 +59,7 @@
 		Backend: translator.BackendToMessage(backend),
 		Health:  cowsliptallyv1.HealthState(health),
 	}
-	if ejection, found := d.keeper.State().Ejected(backend.ID); found {
+	if ejection, found := (facts{d}).Ejected(backend.ID); found {
 		status.Reason = ejection.GetReason()
 		return status
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -1,11 +1,11 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -46,6 +46,9 @@
 	defer result.close()
 	if result.outcome.Executed != fleet.ExecutedYes {
 		a.gate.leave(id, a.call.kind, 0)
+		if result.reached {
+			w.Header().Set(fleet.HeaderReached, "true")
+		}
 		d.refuse(w, a.call, result.outcome, result.message)
 		return
 	}
@@ -117,6 +120,10 @@
 		return a.failed(ctx, exchange, err)
 	}
 	response := exchange.Response
+	if err := a.dispatcher.dialect.Answer(response); err != nil {
+		exchange.Close()
+		return &result{outcome: unknown(fleet.ReasonBroken), message: err.Error()}
+	}
 	if echoed := response.Header.Get(fleet.HeaderRequest); echoed != "" && echoed != string(a.call.request) {
 		exchange.Close()
 		message := fmt.Sprintf("the backend server answered request %q", echoed)
@@ -124,9 +131,10 @@
 	}
 	if shed(response) {
 		exchange.Close()
-		return &result{outcome: refused(fleet.ReasonBusy), message: "the backend server shed the request"}
+		reason := fleet.Reason(cmp.Or(response.Header.Get(fleet.HeaderReason), string(fleet.ReasonBusy)))
+		return &result{outcome: refused(reason), message: "the backend server refused the request", reached: true}
 	}
-	if !delimited(response) {
+	if !delimited(response) && !a.dispatcher.undelimited {
 		exchange.Close()
 		return &result{outcome: unknown(fleet.ReasonBroken), message: "the answer's length is not told"}
 	}
@@ -152,9 +160,7 @@
 		r.Header["User-Agent"] = nil
 	}
 	remaining := a.call.deadline.Sub(a.dispatcher.clock.Now())
-	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	r.Header.Set(fleet.HeaderAttempt, strconv.Itoa(a.call.attempt))
-	r.Header.Set(fleet.HeaderBackend, string(a.backend.ID))
+	a.dispatcher.dialect.Request(r.Header, a.backend, a.call.attempt, remaining)
 	r.RequestURI = ""
 	r.URL.Scheme = "http"
 	r.URL.Host = a.backend.Address
@@ -221,8 +227,7 @@
 
 // shed reports whether a backend server says that it refused the request unrun.
 func shed(r *http.Response) bool {
-	return r.StatusCode == http.StatusServiceUnavailable &&
-		fleet.Executed(r.Header.Get(fleet.HeaderExecuted)) == fleet.ExecutedNo
+	return fleet.Executed(r.Header.Get(fleet.HeaderExecuted)) == fleet.ExecutedNo
 }
 
 // delimited reports whether the end of an answer can be told from a lost connection.
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -22,7 +22,9 @@
 	weight       int
 	idempotent   bool
 	trial        bool
-	deadline     time.Time
+	// impatient attempts are refused when no slot is free.
+	impatient bool
+	deadline  time.Time
 }
 
 // parseCall reads the headers between nodes.
@@ -36,6 +38,7 @@
 		ticket:       header.Get(fleet.HeaderTicket),
 		idempotent:   header.Get(fleet.HeaderIdempotent) == "true",
 		trial:        header.Get(fleet.HeaderTrial) == "true",
+		impatient:    header.Get(fleet.HeaderPatience) == "none",
 	}
 	if c.request == "" || c.backend == "" {
 		return call{}, fmt.Errorf("headers %s and %s are needed", fleet.HeaderRequest, fleet.HeaderBackend)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	bodyBound      int64
 	answerBound    int64
 	heartbeat      time.Duration
+	dialect        Dialect
+	undelimited    bool
 	drainer        *drainer.Drainer
 	usage          *admitter.Usage
 
@@ -67,6 +69,7 @@
 		bodyBound:      DefaultBodyBound,
 		answerBound:    DefaultAnswerBound,
 		heartbeat:      DefaultHeartbeat,
+		dialect:        native{},
 		drainer:        drainer.New(),
 		usage:          admitter.NewUsage(),
 		gates:          make(map[fleet.BackendID]*gate),
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -128,6 +128,7 @@
 		Organisation: c.organisation,
 		Weight:       c.weight,
 		Deadline:     c.deadline,
+		Impatient:    c.impatient,
 	}, g.clock.Now()))
 	return g.last, decided
 }
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -105,3 +105,14 @@
 func WithHeartbeat(spacing time.Duration) Option {
 	return func(d *Dispatcher) { d.heartbeat = spacing }
 }
+
+// WithDialect sets the headers of backend servers; without it they are the fleet's own.
+func WithDialect(dialect Dialect) Option {
+	return func(d *Dispatcher) { d.dialect = dialect }
+}
+
+// WithUndelimited takes answers without a length whose end is that of their connection.
+// One that is reset is not whole; one whose end was closed early looks as if it were.
+func WithUndelimited() Option {
+	return func(d *Dispatcher) { d.undelimited = true }
+}
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -15,6 +15,8 @@
 	// exchange and content hold the answer when there is one.
 	exchange *pooler.Exchange
 	content  *collector.Content
+	// reached tells that the backend server itself refused the request.
+	reached bool
 	// whole is false when the rest of the answer must be streamed.
 	whole bool
 }
--- a/editor/route.go
+++ b/editor/route.go
@@ -22,8 +22,8 @@
 	if err := checkName(operation, "route", r.Name); err != nil {
 		return c, "", err
 	}
-	if _, found := c.Service(r.Service); !found {
-		return c, "", refuse(operation, KindUnknown, "route %q: service %q does not exist", r.Name, r.Service)
+	if err := checkServices(operation, c, r); err != nil {
+		return c, "", err
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPathBytes {
 		return c, "", refuse(operation, KindValue, "route %q: path prefix %q does not begin with / or is longer than %d bytes", r.Name, r.PathPrefix, maxPathBytes)
@@ -37,12 +37,34 @@
 	if r.Weight > maxWeight {
 		return c, "", refuse(operation, KindValue, "route %q: weight %d is more than %d", r.Name, r.Weight, maxWeight)
 	}
-	if r.Timeout > maxTimeout {
-		return c, "", refuse(operation, KindValue, "route %q: time limit %v is more than %v", r.Name, r.Timeout, maxTimeout)
+	if r.Timeout > maxTimeout || r.MaxTimeout > maxTimeout {
+		return c, "", refuse(operation, KindValue, "route %q: time limit %v or %v is more than %v", r.Name, r.Timeout, r.MaxTimeout, maxTimeout)
 	}
 	return c.WithRoute(r), fmt.Sprintf("put route %q to service %q", r.Name, r.Service), nil
 }
 
+// checkServices refuses a route to services that do not exist, or without a share for any.
+func checkServices(operation string, c fleet.Configuration, r fleet.Route) error {
+	services := []fleet.Share{{Service: r.Service, Weight: 1}}
+	if len(r.Split) > 0 {
+		services = r.Split
+	}
+	total := 0
+	for _, share := range services {
+		if _, found := c.Service(share.Service); !found {
+			return refuse(operation, KindUnknown, "route %q: service %q does not exist", r.Name, share.Service)
+		}
+		if share.Weight < 0 || share.Weight > maxWeight {
+			return refuse(operation, KindValue, "route %q: weight %d of service %q is not from 0 to %d", r.Name, share.Weight, share.Service, maxWeight)
+		}
+		total += share.Weight
+	}
+	if total == 0 {
+		return refuse(operation, KindValue, "route %q: no service has a weight above 0", r.Name)
+	}
+	return nil
+}
+
 func deleteRoute(c fleet.Configuration, name string) (fleet.Configuration, string, error) {
 	if _, found := c.Route(name); !found {
 		return c, "", refuse("delete route", KindUnknown, "route %q does not exist", name)
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -50,4 +50,8 @@
 	HeaderTrial = "Cowsliptally-Trial"
 	// HeaderIdentity carries the request's identity between nodes, the same for each re-sending.
 	HeaderIdentity = "Cowsliptally-Identity"
+	// HeaderReached carries "true" when a refusal comes from the backend server itself.
+	HeaderReached = "Cowsliptally-Reached"
+	// HeaderPatience carries "none" on an attempt that must not wait for a slot.
+	HeaderPatience = "Cowsliptally-Patience"
 )
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -16,6 +16,16 @@
 	Idempotent bool
 	// Timeout is the time limit of a request; 0 takes the node's default.
 	Timeout time.Duration
+	// MaxTimeout is the longest time limit that a caller may ask for; 0 for no bound.
+	MaxTimeout time.Duration
+	// Target is the time within which an answer is worth most; 0 if it does not matter.
+	Target time.Duration
+	// MaxAttempts is the most backend servers on which one request may run; 0 takes
+	// the node's default.
+	MaxAttempts int
+	// Split divides the requests among services by weight; it replaces Service when
+	// not empty.
+	Split []Share
 }
 
 // Matches reports whether a request with this host, method and path takes the route.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,7 +18,7 @@
 const maxTickets = 3
 
 // attempt sends a submission to the owner of a backend server once.
-func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int) *result {
+func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int, impatient bool) *result {
 	owner, found := f.directory.Member(backend.Owner)
 	if !found {
 		return refused(fleet.ReasonGone, "the owner of the backend server is not known")
@@ -29,11 +29,12 @@
 	var r *result
 	defer func() { f.end(backend, r) }()
 	for range maxTickets {
-		r = f.send(ctx, s, backend, owner, number)
+		r = f.send(ctx, s, backend, owner, number, impatient)
 		if r.outcome.Reason != fleet.ReasonTicket {
 			break
 		}
 	}
+	r.glanced = impatient && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
 	f.observe(s, backend, r, f.clock.Since(start))
 	return r
 }
@@ -53,23 +54,36 @@
 	}
 }
 
-func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int) *result {
+func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, impatient bool) *result {
 	if ctx.Err() != nil {
 		return refused(fleet.EndReason(ctx), "the time limit passed before the request was sent")
 	}
 	ticket := f.tickets.get(owner.ID)
 	request := f.outgoing(ctx, s, backend, owner, number, ticket)
+	if impatient {
+		request.Header.Set(fleet.HeaderPatience, "none")
+	}
 	exchange, err := f.pooler.Send(ctx, pooler.Message{
 		Address: owner.PeerAddress,
 		Request: request,
 		Content: s.content.Bytes(),
 	})
 	if err != nil {
+		f.blame(ctx, owner, err)
 		return f.unanswered(ctx, s, owner, number, ticket, exchange, err)
 	}
+	f.avoider.Reached(owner.ID)
 	return f.received(ctx, s, backend, exchange)
 }
 
+// blame avoids a node to which no connection could be made or on whose connection
+// nothing came, unless the caller's time was up.
+func (f *Forwarder) blame(ctx context.Context, owner fleet.Member, err error) {
+	if ctx.Err() == nil && fault.KindOf[pooler.Kind](err) != pooler.KindBroken {
+		f.avoider.Failed(owner.ID)
+	}
+}
+
 // outgoing returns the request for an owner.
 func (f *Forwarder) outgoing(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, ticket string) *http.Request {
 	r := s.request.Clone(ctx)
@@ -170,7 +184,9 @@
 	drain(exchange.Response.Body)
 	switch {
 	case executed == fleet.ExecutedNo && reason != "":
-		return refused(reason, "the owner refused the request")
+		r := refused(reason, "the owner refused the request")
+		r.reached = exchange.Response.Header.Get(fleet.HeaderReached) == "true"
+		return r
 	case executed == fleet.ExecutedUnknown && reason != "":
 		r := unknown(reason, "the owner lost the request")
 		r.blameless = reason == fleet.ReasonSilent
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/avoider"
 	"cowsliptally.example/cowsliptally/collector"
 	"cowsliptally.example/cowsliptally/drainer"
 	"cowsliptally.example/cowsliptally/fault"
@@ -46,6 +47,9 @@
 	answerBound    int64
 	timeout        time.Duration
 	writeTimeout   time.Duration
+	maxGlances     int
+	repeatErrors   bool
+	avoider        *avoider.Avoider
 	drainer        *drainer.Drainer
 	tickets        *tickets
 	peers          *peers
@@ -82,6 +86,7 @@
 	if f.retrier == nil {
 		f.retrier = retrier.New()
 	}
+	f.avoider = avoider.New(f.clock)
 	if f.limiter == nil {
 		f.limiter = limiter.New(f.clock)
 	}
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -33,6 +33,8 @@
 	DefaultWriteTimeout = 10 * time.Second
 	// sealTimeout bounds one call to another node about a request.
 	sealTimeout = 250 * time.Millisecond
+	// maxGlanceBody is the largest body that is sent to look for a free slot, in bytes.
+	maxGlanceBody = 16 << 10
 	// Slack bounds how long after its deadline a caller hears: the time to seal an
 	// attempt, and then to give back its key.
 	Slack = 2*sealTimeout + 50*time.Millisecond
@@ -105,3 +107,14 @@
 func WithWriteTimeout(timeout time.Duration) Option {
 	return func(f *Forwarder) { f.writeTimeout = timeout }
 }
+
+// WithGlances lets a submission look for a free slot at this many backend servers before
+// it waits at one; without it, it waits at the first.
+func WithGlances(glances int) Option {
+	return func(f *Forwarder) { f.maxGlances = glances }
+}
+
+// WithRepeatErrors repeats idempotent requests that a backend server answered with an error.
+func WithRepeatErrors() Option {
+	return func(f *Forwarder) { f.repeatErrors = true }
+}
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -16,6 +16,10 @@
 	blameless bool
 	// lostOwner is set when the owner could not be asked any more about the attempt.
 	lostOwner bool
+	// reached is set when the backend server itself refused the request.
+	reached bool
+	// glanced is set when the owner only had no free slot for an attempt that would not wait.
+	glanced bool
 	// exchange and content hold the answer when there is one.
 	exchange *pooler.Exchange
 	content  *collector.Content
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,8 +31,10 @@
 	identity     string
 	weight       int
 	idempotent   bool
-	deadline     time.Time
-	granted      bool
+	// maxRuns is the most backend servers on which it may run; 0 for no bound of its own.
+	maxRuns  int
+	deadline time.Time
+	granted  bool
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// lostOwners counts the owners that could not be asked any more about an attempt.
@@ -65,7 +68,7 @@
 	if err != nil {
 		return s, fleet.ReasonNoRoute, err
 	}
-	s.service, s.kind, s.weight = route.Service, route.Kind, route.Weight
+	s.service, s.kind, s.weight, s.maxRuns = route.Service, route.Kind, route.Weight, route.MaxAttempts
 	if kind := header.Get(fleet.HeaderKind); kind != "" {
 		s.kind = fleet.RequestKind(kind)
 	}
@@ -87,7 +90,7 @@
 	routes := f.matcher()
 	route, found := routes.Match(service, matcher.Host(r.Host), r.Method, r.URL.Path)
 	if found {
-		return route, nil
+		return f.divide(route), nil
 	}
 	if service == "" {
 		return route, fmt.Errorf("no route matches %s %s on host %q", r.Method, r.URL.Path, r.Host)
@@ -98,6 +101,25 @@
 	return fleet.Route{Service: service, Idempotent: safe(r.Method)}, nil
 }
 
+// divide draws the service of a request among the shares of its route.
+func (f *Forwarder) divide(route fleet.Route) fleet.Route {
+	total := 0
+	for _, share := range route.Split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return route
+	}
+	drawn := rand.IntN(total)
+	for _, share := range route.Split {
+		if drawn -= share.Weight; drawn < 0 {
+			route.Service = share.Service
+			break
+		}
+	}
+	return route
+}
+
 // timeoutOf returns the time limit: the caller's, else the route's, else the node's.
 func (f *Forwarder) timeoutOf(header http.Header, route fleet.Route) (time.Duration, error) {
 	timeout := f.timeout
@@ -111,6 +133,9 @@
 		}
 		timeout = time.Duration(milliseconds) * time.Millisecond
 	}
+	if route.MaxTimeout > 0 {
+		timeout = min(timeout, route.MaxTimeout)
+	}
 	return min(timeout, MaxTimeout), nil
 }
 
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -11,28 +13,114 @@
 // maxLostOwners bounds the owners that one submission may lose.
 const maxLostOwners = 2
 
+// search is the state of the attempts of one submission.
+type search struct {
+	candidates []fleet.Backend
+	// tried holds backend servers that are not chosen again.
+	tried []fleet.BackendID
+	// full holds those that had no free slot; one of them is chosen to wait for.
+	full []fleet.BackendID
+	// ran is the number of attempts that ran or may have run.
+	ran int
+	// failed is an answer that reports an error, kept in case no better one comes.
+	failed *result
+}
+
 // try makes attempts until one is answered or no other is allowed.
 func (f *Forwarder) try(ctx context.Context, s *submission) *result {
 	f.retrier.Begin(s.service)
-	var tried []fleet.BackendID
+	t := &search{}
 	var last *result
 	for number := 1; ; number++ {
-		backend, found := f.picker.Pick(s.service, f.directory.Backends(s.service), tried, s.idempotent)
+		t.candidates = f.directory.Backends(s.service)
+		impatient := f.glances(s, t)
+		backend, found := f.choose(s, t)
 		if !found {
-			return f.without(s, last)
+			return t.best(f.without(s, last))
 		}
-		last = f.attempt(ctx, s, backend, number)
-		if last.answered() {
-			return last
+		last = f.attempt(ctx, s, backend, number, impatient)
+		if last.answered() && !f.replaceable(s, last) {
+			return t.better(last)
 		}
 		s.note(last)
-		if !last.blameless || last.outcome.Executed != fleet.ExecutedNo {
-			tried = append(tried, backend.ID)
+		t.note(backend, last)
+		if !f.again(ctx, s, number, t.ran, last) {
+			return t.best(last)
 		}
-		if !f.again(ctx, s, number, last) {
-			return last
+		t.keep(last)
+	}
+}
+
+// glances reports whether the next attempt only looks for a free slot. Large bodies
+// are not sent to look.
+func (f *Forwarder) glances(s *submission, t *search) bool {
+	return len(t.full) < f.maxGlances && len(s.content.Bytes()) <= maxGlanceBody
+}
+
+// choose picks the next backend server: one that was not tried, on a path that did not
+// fail of late; else one of those that were full; else one on a path that failed.
+func (f *Forwarder) choose(s *submission, t *search) (fleet.Backend, bool) {
+	avoided := f.avoider.Among(t.candidates)
+	exclusions := [][]fleet.BackendID{
+		slices.Concat(t.tried, t.full, avoided),
+		slices.Concat(t.tried, avoided),
+		t.tried,
+	}
+	if !f.glances(s, t) {
+		exclusions = exclusions[1:]
+	}
+	for _, excluded := range exclusions {
+		if backend, found := f.picker.Pick(s.service, t.candidates, excluded, s.idempotent); found {
+			return backend, true
 		}
 	}
+	return fleet.Backend{}, false
+}
+
+// replaceable reports whether an answer reports an error in whose place another backend
+// server's answer may be given.
+func (f *Forwarder) replaceable(s *submission, r *result) bool {
+	return f.repeatErrors && s.idempotent && r.exchange.Response.StatusCode >= http.StatusInternalServerError
+}
+
+// note keeps what a failed attempt means for the next ones.
+func (t *search) note(backend fleet.Backend, last *result) {
+	switch {
+	case last.glanced:
+		t.full = append(t.full, backend.ID)
+	case !last.blameless || last.outcome.Executed != fleet.ExecutedNo:
+		t.tried = append(t.tried, backend.ID)
+	}
+	if last.outcome.Executed != fleet.ExecutedNo {
+		t.ran++
+	}
+}
+
+// keep holds an answer that reports an error.
+func (t *search) keep(r *result) {
+	if !r.answered() {
+		return
+	}
+	t.better(nil)
+	t.failed = r
+}
+
+// better returns a result in place of the kept one.
+func (t *search) better(r *result) *result {
+	if t.failed != nil {
+		t.failed.close()
+		t.failed = nil
+	}
+	return r
+}
+
+// best returns the kept answer, or the last result where there is none.
+func (t *search) best(last *result) *result {
+	if t.failed == nil || last.answered() {
+		return t.better(last)
+	}
+	last.close()
+	return t.failed
 }
 
 // note keeps what a failed attempt means for the whole submission. A request that lost
@@ -57,11 +145,19 @@
 	return refused(fleet.ReasonNoBackend, "service "+string(s.service)+" has no backend server that takes work")
 }
 
-// again asks for a retry and waits until it is due.
-func (f *Forwarder) again(ctx context.Context, s *submission, number int, last *result) bool {
+// again asks for a retry and waits until it is due. Looking for a free slot elsewhere
+// is no retry.
+func (f *Forwarder) again(ctx context.Context, s *submission, number, ran int, last *result) bool {
+	if last.glanced {
+		return ctx.Err() == nil
+	}
 	decision := f.retrier.Decide(retrier.Attempt{
 		Service:    s.service,
 		Number:     number,
+		Ran:        ran,
+		MaxRuns:    s.maxRuns,
+		Reached:    last.reached || last.outcome.Executed != fleet.ExecutedNo,
+		Failed:     last.answered(),
 		Outcome:    last.outcome,
 		Idempotent: s.idempotent,
 		Remaining:  s.deadline.Sub(f.clock.Now()),
@@ -80,6 +176,9 @@
 }
 
 func (f *Forwarder) wait(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-f.clock.After(delay):
 		return true
--- a/gen/cowsliptally/v1/cowsliptallyv1connect/peer.connect.go
+++ b/gen/cowsliptally/v1/cowsliptallyv1connect/peer.connect.go
@@ -24,6 +24,8 @@
 const (
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "cowsliptally.v1.PeerService"
+	// ConfigurationServiceName is the fully-qualified name of the ConfigurationService service.
+	ConfigurationServiceName = "cowsliptally.v1.ConfigurationService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -43,6 +45,9 @@
 	PeerServiceCompareProcedure = "/cowsliptally.v1.PeerService/Compare"
 	// PeerServiceFetchStateProcedure is the fully-qualified name of the PeerService's FetchState RPC.
 	PeerServiceFetchStateProcedure = "/cowsliptally.v1.PeerService/FetchState"
+	// ConfigurationServiceFetchDocumentProcedure is the fully-qualified name of the
+	// ConfigurationService's FetchDocument RPC.
+	ConfigurationServiceFetchDocumentProcedure = "/cowsliptally.v1.ConfigurationService/FetchDocument"
 )
 
 // PeerServiceClient is a client for the cowsliptally.v1.PeerService service.
@@ -200,3 +205,76 @@
 func (UnimplementedPeerServiceHandler) FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowsliptally.v1.PeerService.FetchState is not implemented"))
 }
+
+// ConfigurationServiceClient is a client for the cowsliptally.v1.ConfigurationService service.
+type ConfigurationServiceClient interface {
+	// FetchDocument returns the newest document that the node holds, for nodes that are behind.
+	FetchDocument(context.Context, *connect.Request[v1.FetchDocumentRequest]) (*connect.Response[v1.FetchDocumentResponse], error)
+}
+
+// NewConfigurationServiceClient constructs a client for the cowsliptally.v1.ConfigurationService
+// service. By default, it uses the Connect protocol with the binary Protobuf Codec, asks for
+// gzipped responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply
+// the connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewConfigurationServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ConfigurationServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	configurationServiceMethods := v1.File_cowsliptally_v1_peer_proto.Services().ByName("ConfigurationService").Methods()
+	return &configurationServiceClient{
+		fetchDocument: connect.NewClient[v1.FetchDocumentRequest, v1.FetchDocumentResponse](
+			httpClient,
+			baseURL+ConfigurationServiceFetchDocumentProcedure,
+			connect.WithSchema(configurationServiceMethods.ByName("FetchDocument")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// configurationServiceClient implements ConfigurationServiceClient.
+type configurationServiceClient struct {
+	fetchDocument *connect.Client[v1.FetchDocumentRequest, v1.FetchDocumentResponse]
+}
+
+// FetchDocument calls cowsliptally.v1.ConfigurationService.FetchDocument.
+func (c *configurationServiceClient) FetchDocument(ctx context.Context, req *connect.Request[v1.FetchDocumentRequest]) (*connect.Response[v1.FetchDocumentResponse], error) {
+	return c.fetchDocument.CallUnary(ctx, req)
+}
+
+// ConfigurationServiceHandler is an implementation of the cowsliptally.v1.ConfigurationService
+// service.
+type ConfigurationServiceHandler interface {
+	// FetchDocument returns the newest document that the node holds, for nodes that are behind.
+	FetchDocument(context.Context, *connect.Request[v1.FetchDocumentRequest]) (*connect.Response[v1.FetchDocumentResponse], error)
+}
+
+// NewConfigurationServiceHandler builds an HTTP handler from the service implementation. It returns
+// the path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewConfigurationServiceHandler(svc ConfigurationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	configurationServiceMethods := v1.File_cowsliptally_v1_peer_proto.Services().ByName("ConfigurationService").Methods()
+	configurationServiceFetchDocumentHandler := connect.NewUnaryHandler(
+		ConfigurationServiceFetchDocumentProcedure,
+		svc.FetchDocument,
+		connect.WithSchema(configurationServiceMethods.ByName("FetchDocument")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/cowsliptally.v1.ConfigurationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ConfigurationServiceFetchDocumentProcedure:
+			configurationServiceFetchDocumentHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedConfigurationServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedConfigurationServiceHandler struct{}
+
+func (UnimplementedConfigurationServiceHandler) FetchDocument(context.Context, *connect.Request[v1.FetchDocumentRequest]) (*connect.Response[v1.FetchDocumentResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowsliptally.v1.ConfigurationService.FetchDocument is not implemented"))
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -38,6 +39,7 @@
 	changes *outlet
 	// budget bounds the bytes of changes a second.
 	budget *rate.Limiter
+	joined atomic.Bool
 	// probing bounds the probes that run at a time.
 	probing chan struct{}
 
--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -23,12 +23,21 @@
 		}
 	}
 	p.catchUp(ctx)
+	p.joined.Store(true)
 	for p.sleep(ctx, reconnectInterval) {
 		p.reconnect(ctx)
 	}
 	return ctx.Err()
 }
 
+// AddSeeds adds peer addresses by which the node finds the fleet; it is to be called before Run.
+func (p *Prober) AddSeeds(addresses ...string) {
+	p.seeds = append(p.seeds, addresses...)
+}
+
+// Joined reports whether the node found the fleet, or is the first of it.
+func (p *Prober) Joined() bool { return p.joined.Load() }
+
 // join probes all seeds at the same time and reports whether this node knows a
 // peer or is the only one.
 func (p *Prober) join(ctx context.Context) bool {
--- a/retrier/attempt.go
+++ b/retrier/attempt.go
@@ -11,9 +11,28 @@
 	Service fleet.ServiceName
 	// Number counts from 1.
 	Number int
+	// Ran is the number of attempts so far, this one included, that ran or may have run.
+	Ran int
+	// MaxRuns bounds Ran over the whole submission; 0 for no bound beyond that of attempts.
+	MaxRuns int
+	// Reached tells that the attempt arrived at the backend server, run or not.
+	Reached bool
+	// Failed tells that the backend server answered with an error, which another answer may replace.
+	Failed bool
 	// Outcome is the proof and the reason of the failure.
 	Outcome    fleet.Outcome
 	Idempotent bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 }
+
+// repeatable reports whether another attempt is permitted at all.
+func (a Attempt) repeatable() bool {
+	if a.MaxRuns > 0 && a.Ran >= a.MaxRuns {
+		return false
+	}
+	if a.Failed {
+		return a.Idempotent
+	}
+	return Repeatable(a.Outcome, a.Idempotent)
+}
--- a/retrier/option.go
+++ b/retrier/option.go
@@ -1,6 +1,10 @@
 package retrier
 
-import "time"
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
 
 const (
 	// MaxAttempts bounds the attempts of one submission.
@@ -11,6 +15,8 @@
 	DefaultBurst = 20
 	// DefaultBase bounds the delay before the first retry; it doubles with each attempt.
 	DefaultBase = 4 * time.Millisecond
+	// maxShift bounds how often the delay doubles.
+	maxShift = 4
 )
 
 // Option changes a setting of a Retrier.
@@ -18,7 +24,18 @@
 
 // WithBudget sets the share of retries earned by each request and the number that may be saved up.
 func WithBudget(ratio, burst float64) Option {
-	return func(r *Retrier) { r.ratio, r.burst = ratio, burst }
+	return func(r *Retrier) { r.allowance.PerRequest, r.allowance.Burst = ratio, burst }
+}
+
+// WithAllowance replaces the budget by what allowance returns at each request. Budgets
+// then start empty, so that restarts of many nodes do not add up.
+func WithAllowance(allowance func() Allowance) Option {
+	return func(r *Retrier) { r.shared = allowance }
+}
+
+// WithAttempts bounds the attempts of one submission, including those that reached no backend server.
+func WithAttempts(attempts int) Option {
+	return func(r *Retrier) { r.attempts = attempts }
 }
 
 // WithBase sets the bound of the delay before the first retry.
@@ -26,6 +43,11 @@
 	return func(r *Retrier) { r.base = base }
 }
 
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(r *Retrier) { r.clock = clock }
+}
+
 // WithRandom sets the source of jitter: a function that returns numbers in [0, 1).
 func WithRandom(random func() float64) Option {
 	return func(r *Retrier) { r.random = random }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -6,28 +6,34 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
 // Retrier holds a retry budget for each service. It is safe for concurrent use.
 type Retrier struct {
-	ratio  float64
-	burst  float64
-	base   time.Duration
-	random func() float64
+	allowance Allowance
+	// shared returns the allowance at present, where it changes with the fleet.
+	shared   func() Allowance
+	attempts int
+	base     time.Duration
+	random   func() float64
+	clock    clockwork.Clock
 
 	mu      sync.Mutex
-	budgets map[fleet.ServiceName]float64
+	budgets map[fleet.ServiceName]*budget
 }
 
 // New returns a retrier with full budgets.
 func New(options ...Option) *Retrier {
 	r := &Retrier{
-		ratio:   DefaultRatio,
-		burst:   DefaultBurst,
-		base:    DefaultBase,
-		random:  rand.Float64,
-		budgets: make(map[fleet.ServiceName]float64),
+		allowance: Allowance{PerRequest: DefaultRatio, Burst: DefaultBurst, Unreached: 1, Reached: 1, Ran: 1},
+		attempts:  MaxAttempts,
+		base:      DefaultBase,
+		random:    rand.Float64,
+		clock:     clockwork.NewRealClock(),
+		budgets:   make(map[fleet.ServiceName]*budget),
 	}
 	for _, option := range options {
 		option(r)
@@ -37,22 +43,31 @@
 
 // Begin counts a new submission, which earns its service a share of a retry.
 func (r *Retrier) Begin(service fleet.ServiceName) {
+	allowance := r.current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service, allowance).add(allowance.PerRequest, allowance.Burst)
+}
+
+// Left returns the retries that a service may make at present.
+func (r *Retrier) Left(service fleet.ServiceName) float64 {
+	allowance := r.current()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budgets[service] = min(r.burst, r.budget(service)+r.ratio)
+	return r.budget(service, allowance).tokens
 }
 
 // Decide says whether the submission is tried again, and spends the budget if so.
 func (r *Retrier) Decide(a Attempt) Decision {
 	refusal := Decision{Reason: a.Outcome.Reason}
-	if a.Number >= MaxAttempts || a.Remaining <= 0 || !Repeatable(a.Outcome, a.Idempotent) {
+	if a.Number >= r.attempts || a.Remaining <= 0 || !a.repeatable() {
 		return refusal
 	}
-	delay := time.Duration(r.random() * float64(r.base<<(a.Number-1)))
+	delay := time.Duration(r.random() * float64(r.base<<min(a.Number-1, maxShift)))
 	if delay >= a.Remaining {
 		return refusal
 	}
-	if !r.spend(a.Service) {
+	if !r.spend(a) {
 		return Decision{Reason: fleet.ReasonBudget}
 	}
 	return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason}
@@ -75,21 +90,37 @@
 	}
 }
 
-func (r *Retrier) spend(service fleet.ServiceName) bool {
+func (r *Retrier) spend(a Attempt) bool {
+	allowance := r.current()
+	cost := allowance.cost(a)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	budget := r.budget(service)
-	if budget < 1 {
+	left := r.budget(a.Service, allowance)
+	if left.tokens < cost {
 		return false
 	}
-	r.budgets[service] = budget - 1
+	left.tokens -= cost
 	return true
 }
 
-func (r *Retrier) budget(service fleet.ServiceName) float64 {
-	budget, found := r.budgets[service]
+func (r *Retrier) current() Allowance {
+	if r.shared == nil {
+		return r.allowance
+	}
+	return r.shared()
+}
+
+// budget returns what is left for a service, refilled up to now.
+func (r *Retrier) budget(service fleet.ServiceName, allowance Allowance) *budget {
+	now := r.clock.Now()
+	left, found := r.budgets[service]
 	if !found {
-		return r.burst
+		left = &budget{refilled: now}
+		if r.shared == nil {
+			left.tokens = allowance.Burst
+		}
+		r.budgets[service] = left
 	}
-	return budget
+	left.refill(now, allowance.PerSecond, allowance.Burst)
+	return left
 }
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -22,7 +22,7 @@
 	fleet.HeaderInFlight, fleet.HeaderQueued, fleet.HeaderSlots, fleet.HeaderServiceTime,
 	fleet.HeaderRevision, fleet.HeaderLength, fleet.HeaderTicket, fleet.HeaderWeight,
 	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial, fleet.HeaderReporter,
-	fleet.HeaderCrashed,
+	fleet.HeaderCrashed, fleet.HeaderReached, fleet.HeaderPatience,
 }
 
 // Connection removes the headers that concern one connection.
--- a/settings/node.go
+++ b/settings/node.go
@@ -12,6 +12,8 @@
 const (
 	minMemoryBytes = 1 << 20
 	maxMemoryBytes = 64 << 30
+	// maxGlances bounds the messages that one request may cost while all are full.
+	maxGlances = 16
 )
 
 var wordPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
@@ -34,11 +36,27 @@
 	MaxAnswer             int64         `help:"Largest answer that is held until it is whole, in bytes; a larger one is streamed." default:"4194304"`
 	Memory                int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
 	Linger                time.Duration `help:"Time after SIGTERM during which new requests are still taken, so that callers move to other nodes." default:"2s"`
+	Glances               int           `help:"Backend servers at which a request looks for a free slot before it waits at one." default:"0"`
+	RepeatErrors          bool          `help:"Send idempotent requests again that a backend server answered with an error." default:"false"`
+	Undelimited           bool          `help:"Take answers of backend servers whose end is that of their connection." default:"false"`
+	Lease                 time.Duration `help:"Time after which a backend server that announced nothing is gone." default:"3s"`
+	DialTimeout           time.Duration `help:"Time limit of a new connection to a node or backend server." default:"1s"`
+	PeerIdle              time.Duration `help:"Time after which an unused connection to another node is closed." default:"4s"`
+	BackendIdle           time.Duration `help:"Time after which an unused connection to a backend server is closed; less than the backend server's own." default:"4s"`
 	Shutdown              time.Duration `help:"Longest wait for requests in flight after SIGTERM." default:"30s"`
 }
 
 // Check returns the first wrong setting as an *Error.
 func (n Node) Check() error {
+	if err := n.CheckShared(); err != nil {
+		return err
+	}
+	return n.checkLog()
+}
+
+// CheckShared checks all settings but the log service's address, for nodes whose
+// configuration comes from elsewhere.
+func (n Node) CheckShared() error {
 	checks := []func() error{
 		func() error { return checkWord("--name", n.Name) },
 		func() error { return checkAddress("--caller-address", n.CallerAddress) },
@@ -47,7 +65,6 @@
 		func() error { return checkWord("--zone", n.Zone) },
 		func() error { return checkWord("--region", n.Region) },
 		n.checkPeers,
-		n.checkLog,
 		func() error { return checkPositive("--checkpoint", n.Checkpoint) },
 		func() error { return checkPositive("--timeout", n.Timeout) },
 		func() error { return checkBytes("--max-body", n.MaxBody, 1) },
@@ -55,6 +72,11 @@
 		func() error { return checkBytes("--memory", n.Memory, minMemoryBytes) },
 		func() error { return checkPositive("--linger", n.Linger) },
 		func() error { return checkPositive("--shutdown", n.Shutdown) },
+		func() error { return checkPositive("--lease", n.Lease) },
+		func() error { return checkPositive("--dial-timeout", n.DialTimeout) },
+		func() error { return checkPositive("--peer-idle", n.PeerIdle) },
+		func() error { return checkPositive("--backend-idle", n.BackendIdle) },
+		n.checkGlances,
 		n.checkDistinct,
 	}
 	for _, check := range checks {
@@ -65,6 +87,13 @@
 	return nil
 }
 
+func (n Node) checkGlances() error {
+	if n.Glances >= 0 && n.Glances <= maxGlances {
+		return nil
+	}
+	return &Error{Flag: "--glances", Value: strconv.Itoa(n.Glances), Expected: "a number from 0 to " + strconv.Itoa(maxGlances)}
+}
+
 func (n Node) checkPeers() error {
 	for _, peer := range n.Peers {
 		if err := checkAddress("--peers", peer); err != nil {
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -13,6 +13,7 @@
 		Name: "a", CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", Zone: "suwon",
 		Region: "gyeonggi", Peers: []string{"127.0.0.1:8003"}, Log: "http://127.0.0.1:7000",
 		Checkpoint: time.Hour, Timeout: time.Second, MaxBody: 1, MaxAnswer: 1, Memory: minMemoryBytes, Linger: time.Second, Shutdown: time.Second,
+		Lease: time.Second, DialTimeout: time.Second, PeerIdle: time.Second, BackendIdle: time.Second,
 	}
 }
 
@@ -32,6 +33,9 @@
 		{"--log", "ftp://a", func(n *Node) { n.Log = "ftp://a" }},
 		{"--timeout", "0s", func(n *Node) { n.Timeout = 0 }},
 		{"--memory", "5", func(n *Node) { n.Memory = 5 }},
+		{"--lease", "0s", func(n *Node) { n.Lease = 0 }},
+		{"--dial-timeout", "0s", func(n *Node) { n.DialTimeout = 0 }},
+		{"--glances", "-1", func(n *Node) { n.Glances = -1 }},
 	}
 	for _, c := range cases {
 		node := valid()
--- a/translator/configuration.go
+++ b/translator/configuration.go
@@ -37,32 +37,50 @@
 
 // RouteToMessage converts a route.
 func RouteToMessage(r fleet.Route) *cowsliptallyv1.Route {
-	return &cowsliptallyv1.Route{
-		Name:       r.Name,
-		Service:    string(r.Service),
-		Host:       r.Host,
-		Method:     r.Method,
-		PathPrefix: r.PathPrefix,
-		Kind:       string(r.Kind),
-		Weight:     uint32(r.Weight),
-		Idempotent: r.Idempotent,
-		TimeoutMs:  uint32(r.Timeout.Milliseconds()),
+	message := &cowsliptallyv1.Route{
+		Name:         r.Name,
+		Service:      string(r.Service),
+		Host:         r.Host,
+		Method:       r.Method,
+		PathPrefix:   r.PathPrefix,
+		Kind:         string(r.Kind),
+		Weight:       uint32(r.Weight),
+		Idempotent:   r.Idempotent,
+		TimeoutMs:    uint32(r.Timeout.Milliseconds()),
+		MaxTimeoutMs: uint32(r.MaxTimeout.Milliseconds()),
+		TargetMs:     uint32(r.Target.Milliseconds()),
+		MaxAttempts:  uint32(r.MaxAttempts),
 	}
+	for _, share := range r.Split {
+		message.Split = append(message.Split, &cowsliptallyv1.Share{
+			Service: string(share.Service), Weight: uint32(share.Weight),
+		})
+	}
+	return message
 }
 
 // RouteFromMessage converts a route message.
 func RouteFromMessage(m *cowsliptallyv1.Route) fleet.Route {
-	return fleet.Route{
-		Name:       m.GetName(),
-		Service:    fleet.ServiceName(m.GetService()),
-		Host:       m.GetHost(),
-		Method:     m.GetMethod(),
-		PathPrefix: m.GetPathPrefix(),
-		Kind:       fleet.RequestKind(m.GetKind()),
-		Weight:     int(m.GetWeight()),
-		Idempotent: m.GetIdempotent(),
-		Timeout:    time.Duration(m.GetTimeoutMs()) * time.Millisecond,
+	route := fleet.Route{
+		Name:        m.GetName(),
+		Service:     fleet.ServiceName(m.GetService()),
+		Host:        m.GetHost(),
+		Method:      m.GetMethod(),
+		PathPrefix:  m.GetPathPrefix(),
+		Kind:        fleet.RequestKind(m.GetKind()),
+		Weight:      int(m.GetWeight()),
+		Idempotent:  m.GetIdempotent(),
+		Timeout:     time.Duration(m.GetTimeoutMs()) * time.Millisecond,
+		MaxTimeout:  time.Duration(m.GetMaxTimeoutMs()) * time.Millisecond,
+		Target:      time.Duration(m.GetTargetMs()) * time.Millisecond,
+		MaxAttempts: int(m.GetMaxAttempts()),
+	}
+	for _, share := range m.GetSplit() {
+		route.Split = append(route.Split, fleet.Share{
+			Service: fleet.ServiceName(share.GetService()), Weight: int(share.GetWeight()),
+		})
 	}
+	return route
 }
 
 // LimitToMessage converts a limit.
