Let owners refuse while their backend server fails

Verdicts of the judge last from 10 s to 2 min, so in the end nearly all copies were degraded and the choice fell on all alike. Ruled out: shorter holds; each ingress still has to learn of each episode by itself. After: an owner keeps the probability that its backend server fails (hidden Markov chain, a package of its own) and refuses all but single idempotent trials while it is likely; the ingress goes on at no cost to its retry budget.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,10 +181,11 @@
 		judge.WithDirectory(d.roster),
 		judge.WithEjections(facts{d}),
 		judge.WithSettings(d.configurations))
-	d.balancer = balancer.New(
-		balancer.WithClock(d.clock),
-		balancer.WithVerdicts(d.judge),
-		balancer.WithZone(d.self.Zone))
+	options := []balancer.Option{balancer.WithClock(d.clock), balancer.WithZone(d.self.Zone)}
+	if !d.ownerJudges() {
+		options = append(options, balancer.WithVerdicts(d.judge))
+	}
+	d.balancer = balancer.New(options...)
 	if d.source != nil {
 		return
 	}
@@ -215,12 +216,14 @@
 		forwarder.WithGlances(d.set.Glances),
 		forwarder.WithGuard(d.guard),
 		forwarder.WithMemory(d.memory),
-		forwarder.WithObserver(observer{d.judge}),
 		forwarder.WithPooler(d.newPooler(forwarder.DefaultProgress, d.set.PeerIdle)),
 		forwarder.WithPoisoner(d.poisoner),
 		forwarder.WithRecorder(d.journal),
 		forwarder.WithTimeout(d.set.Timeout),
 	}
+	if !d.ownerJudges() {
+		options = append(options, forwarder.WithObserver(observer{d.judge}))
+	}
 	if d.set.RepeatErrors {
 		options = append(options, forwarder.WithRepeatErrors())
 	}
@@ -242,12 +245,16 @@
 		dispatcher.WithGuard(d.guard),
 		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
-		dispatcher.WithObserver(observer{d.judge}),
 		dispatcher.WithPooler(d.newPooler(dispatcher.DefaultProgress, d.set.BackendIdle)),
 		dispatcher.WithPoisoner(d.poisoner),
 		dispatcher.WithRecorder(d.journal),
 		dispatcher.WithSuspects(d.spreader),
 	}
+	if d.ownerJudges() {
+		options = append(options, dispatcher.WithEstimates())
+	} else {
+		options = append(options, dispatcher.WithObserver(observer{d.judge}))
+	}
 	if d.dialect != nil {
 		options = append(options, dispatcher.WithDialect(d.dialect))
 	}
@@ -265,6 +272,9 @@
 		pooler.WithProgress(progress))
 }
 
+// ownerJudges reports whether owners alone judge their backend servers.
+func (d *Daemon) ownerJudges() bool { return d.set.Verdicts == settings.VerdictsOwner }
+
 // liveNodes returns the number of nodes that serve, this one included.
 func (d *Daemon) liveNodes() int {
 	count := 0
--- a/daemon/duty.go
+++ b/daemon/duty.go
@@ -21,7 +21,11 @@
 		{"dispatcher", d.dispatcher.Run},
 	}
 	if d.source != nil {
-		return append(duties, duty{"adopter", d.adopter.Run}, duty{"judge", d.runJudge})
+		duties = append(duties, duty{"adopter", d.adopter.Run})
+		if !d.ownerJudges() {
+			duties = append(duties, duty{"judge", d.runJudge})
+		}
+		return duties
 	}
 	return append(duties,
 		duty{"keeper", d.keeper.Run},
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -41,7 +41,9 @@
 		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
 	}
+	a.gate.start(id, a.call.kind)
 	result, took := a.observed(ctx)
+	a.gate.finish(id, a.class(result))
 	beats.stop()
 	defer result.close()
 	if result.outcome.Executed != fleet.ExecutedYes {
@@ -96,6 +98,9 @@
 	if reason := a.dispatcher.suspicion(a.call); reason != "" {
 		return refused(reason)
 	}
+	if a.gate.doubts(a.call) {
+		return refused(fleet.ReasonDoubt)
+	}
 	switch a.dispatcher.sealer.Begin(a.call.sealing()) {
 	case sealer.Begun:
 		return fleet.Outcome{}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -24,6 +24,8 @@
 	trial        bool
 	// impatient attempts are refused when no slot is free.
 	impatient bool
+	// insistent attempts are sent even to a doubted backend server.
+	insistent bool
 	deadline  time.Time
 }
 
@@ -38,6 +40,7 @@
 		ticket:       header.Get(fleet.HeaderTicket),
 		idempotent:   header.Get(fleet.HeaderIdempotent) == "true",
 		trial:        header.Get(fleet.HeaderTrial) == "true",
+		insistent:    header.Get(fleet.HeaderInsist) == "true",
 		impatient:    header.Get(fleet.HeaderPatience) == "none",
 	}
 	if c.request == "" || c.backend == "" {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"cowsliptally.example/cowsliptally/admitter"
 	"cowsliptally.example/cowsliptally/collector"
 	"cowsliptally.example/cowsliptally/drainer"
+	"cowsliptally.example/cowsliptally/estimator"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/guard"
 	"cowsliptally.example/cowsliptally/poisoner"
@@ -48,6 +49,7 @@
 	heartbeat      time.Duration
 	dialect        Dialect
 	undelimited    bool
+	estimates      bool
 	drainer        *drainer.Drainer
 	usage          *admitter.Usage
 
@@ -151,6 +153,11 @@
 		d.refuse(w, c, refused(reason), "the backend server takes no work")
 		return
 	}
+	g := d.gate(backend)
+	if g.doubts(c) {
+		d.refuse(w, c, refused(fleet.ReasonDoubt), "the backend server failed requests of late")
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	content, err := d.bodies.Collect(r.Body, r.ContentLength)
@@ -159,7 +166,7 @@
 		return
 	}
 	defer content.Release()
-	a := &attempt{dispatcher: d, call: c, backend: backend, gate: d.gate(backend), request: r, content: content.Bytes()}
+	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r, content: content.Bytes()}
 	a.serve(ctx, w)
 }
 
@@ -195,6 +202,9 @@
 	if !found {
 		d.sweep()
 		g = newGate(backend.Slots, d.usage, d.clock)
+		if d.estimates {
+			g.estimator = estimator.New(d.clock.Now())
+		}
 		d.gates[backend.ID] = g
 	}
 	g.open(backend.Slots)
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/estimator"
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
@@ -20,6 +21,8 @@
 	slots    int
 	last     admitter.ID
 	waiters  map[admitter.ID]chan admitter.Decision
+	// estimator judges the backend server; nil takes it to be sound.
+	estimator *estimator.Estimator
 	// running holds the identities of the requests in slots.
 	running map[admitter.ID]string
 }
@@ -73,6 +76,40 @@
 	g.free(id, kind, took)
 }
 
+// doubts reports whether an attempt must not be sent, because the backend server fails
+// at the moment.
+func (g *gate) doubts(c call) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.estimator != nil && !c.insistent && !g.estimator.Admits(c.idempotent, g.clock.Now())
+}
+
+// start tells the estimator that a request is sent.
+func (g *gate) start(id admitter.ID, kind fleet.RequestKind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.estimator != nil {
+		g.estimator.Begin(uint64(id), kind, g.clock.Now())
+	}
+}
+
+// finish tells the estimator how a request ended.
+func (g *gate) finish(id admitter.ID, class fleet.Class) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.estimator == nil {
+		return
+	}
+	result := estimator.Failed
+	switch class {
+	case fleet.ClassOK:
+		result = estimator.Answered
+	case fleet.ClassCancelled, fleet.ClassRefused:
+		result = estimator.Undecided
+	}
+	g.estimator.End(uint64(id), result, g.clock.Now())
+}
+
 // close refuses all that waits.
 func (g *gate) close() {
 	g.mu.Lock()
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -106,6 +106,11 @@
 	return func(d *Dispatcher) { d.heartbeat = spacing }
 }
 
+// WithEstimates refuses attempts while their backend server fails most requests.
+func WithEstimates() Option {
+	return func(d *Dispatcher) { d.estimates = true }
+}
+
 // WithDialect sets the headers of backend servers; without it they are the fleet's own.
 func WithDialect(dialect Dialect) Option {
 	return func(d *Dispatcher) { d.dialect = dialect }
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -33,6 +33,9 @@
 
 // class says what the result tells of the backend server.
 func (r *result) class() fleet.Class {
+	if r.reached {
+		return fleet.ClassRefused
+	}
 	switch r.outcome.Reason {
 	case "":
 		if r.exchange.Response.StatusCode >= http.StatusInternalServerError {
--- a/editor/route.go
+++ b/editor/route.go
@@ -46,8 +46,8 @@
 // checkServices refuses a route to services that do not exist, or without a share for any.
 func checkServices(operation string, c fleet.Configuration, r fleet.Route) error {
 	services := []fleet.Share{{Service: r.Service, Weight: 1}}
-	if len(r.Split) > 0 {
-		services = r.Split
+	if r.Split != nil {
+		services = r.Split.Shares()
 	}
 	total := 0
 	for _, share := range services {
--- /dev/null
+++ b/estimator/estimator_test.go
@@ -0,0 +1,118 @@
+package estimator_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/estimator"
+)
+
+var start = time.Unix(1000, 0)
+
+// server is a backend server that changes between sound and failing by itself.
+type server struct {
+	estimator *estimator.Estimator
+	random    *rand.Rand
+	next      uint64
+}
+
+// request sends one request if it is admitted and returns whether it ran and failed.
+func (s *server) request(now time.Time, failing float64, idempotent bool) (ran, failed bool) {
+	if !s.estimator.Admits(idempotent, now) {
+		return false, false
+	}
+	s.next++
+	s.estimator.Begin(s.next, "lookup", now)
+	if s.random.Float64() < failing {
+		s.estimator.End(s.next, estimator.Failed, now.Add(2*time.Millisecond))
+		return true, true
+	}
+	s.estimator.End(s.next, estimator.Answered, now.Add(200*time.Millisecond))
+	return true, false
+}
+
+// TestFailingBackendServerGetsTrialsOnly plays six requests a second, a third of them
+// idempotent, at a backend server that fails nine of ten for 5 s in every 20.
+func TestFailingBackendServerGetsTrialsOnly(t *testing.T) {
+	is := is.New(t)
+	s := &server{estimator: estimator.New(start), random: rand.New(rand.NewPCG(1, 1))}
+	var ranFailing, unsafeFailed, refusedSound, sound int
+	for i := range 6 * 2000 {
+		now := start.Add(time.Duration(i) * time.Second / 6)
+		failing := 0.012
+		if i/6%20 < 5 {
+			failing = 0.9
+		}
+		idempotent := i%3 == 0
+		ran, failed := s.request(now, failing, idempotent)
+		switch {
+		case failing > 0.5 && ran:
+			ranFailing++
+			if failed && !idempotent {
+				unsafeFailed++
+			}
+		case failing < 0.5:
+			sound++
+			if !ran {
+				refusedSound++
+			}
+		}
+	}
+	t.Logf("100 episodes of 30 requests: %d ran, %d not idempotent ones failed; refused while sound: %.3f",
+		ranFailing, unsafeFailed, float64(refusedSound)/float64(sound))
+	is.True(ranFailing < 100*12)                         // of 3,000
+	is.True(unsafeFailed < 100*2)                        // of 1,800
+	is.True(float64(refusedSound)/float64(sound) < 0.15) // most of it follows the episodes
+}
+
+// TestRequestsThatHangCountBeforeTheyEnd sends requests to a backend server that stops
+// answering.
+func TestRequestsThatHangCountBeforeTheyEnd(t *testing.T) {
+	is := is.New(t)
+	e := estimator.New(start)
+	now := start
+	for id := range uint64(20) {
+		e.Begin(id, "lookup", now)
+		now = now.Add(100 * time.Millisecond)
+		e.End(id, estimator.Answered, now)
+	}
+	e.Begin(100, "lookup", now)
+	e.Begin(101, "lookup", now)
+	is.True(e.Admits(false, now.Add(400*time.Millisecond)))
+	is.True(!e.Admits(false, now.Add(600*time.Millisecond)))
+	is.True(!e.Admits(true, now.Add(600*time.Millisecond))) // one trial at a time
+}
+
+// TestOneErrorPassesSoon checks that a sound backend server is in full use again within
+// a second of its usual results after a single error.
+func TestOneErrorPassesSoon(t *testing.T) {
+	is := is.New(t)
+	e := estimator.New(start)
+	now := start
+	e.Begin(1, "lookup", now)
+	e.End(1, estimator.Failed, now)
+	is.True(!e.Admits(false, now))
+	now = now.Add(250 * time.Millisecond)
+	for id := uint64(2); id < 6; id++ {
+		is.True(e.Admits(true, now))
+		e.Begin(id, "lookup", now)
+		now = now.Add(200 * time.Millisecond)
+		e.End(id, estimator.Answered, now)
+	}
+	is.True(e.Admits(false, now))
+}
+
+// TestUndecidedResultsSayNothing ends requests whose callers left.
+func TestUndecidedResultsSayNothing(t *testing.T) {
+	is := is.New(t)
+	e := estimator.New(start)
+	before := e.Failing(start)
+	for id := range uint64(100) {
+		e.Begin(id, "lookup", start)
+		e.End(id, estimator.Undecided, start)
+	}
+	is.Equal(e.Failing(start), before)
+}
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -52,6 +52,8 @@
 	HeaderIdentity = "Cowsliptally-Identity"
 	// HeaderReached carries "true" when a refusal comes from the backend server itself.
 	HeaderReached = "Cowsliptally-Reached"
+	// HeaderInsist carries "true" on an attempt that is sent even to a doubted backend server.
+	HeaderInsist = "Cowsliptally-Insist"
 	// HeaderPatience carries "none" on an attempt that must not wait for a slot.
 	HeaderPatience = "Cowsliptally-Patience"
 )
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -53,6 +53,8 @@
 	ReasonBadRequest Reason = "badrequest"
 	// ReasonTicket means that the owner could no longer tell a late attempt from a new one.
 	ReasonTicket Reason = "ticket"
+	// ReasonDoubt means that the backend server failed of late and gets single trials only.
+	ReasonDoubt Reason = "doubt"
 	// ReasonSuspect means that the request was in a slot of a backend server that
 	// crashed, and that its trial run is not over.
 	ReasonSuspect Reason = "suspect"
@@ -65,6 +67,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonGuard,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonSilent,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
-		ReasonTicket, ReasonSuspect, ReasonLost,
+		ReasonTicket, ReasonSuspect, ReasonLost, ReasonDoubt,
 	}
 }
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -23,9 +23,8 @@
 	// MaxAttempts is the most backend servers on which one request may run; 0 takes
 	// the node's default.
 	MaxAttempts int
-	// Split divides the requests among services by weight; it replaces Service when
-	// not empty.
-	Split []Share
+	// Split divides the requests among services; it replaces Service unless it is nil.
+	Split *Split
 }
 
 // Matches reports whether a request with this host, method and path takes the route.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,7 +18,7 @@
 const maxTickets = 3
 
 // attempt sends a submission to the owner of a backend server once.
-func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int, impatient bool) *result {
+func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int, way approach) *result {
 	owner, found := f.directory.Member(backend.Owner)
 	if !found {
 		return refused(fleet.ReasonGone, "the owner of the backend server is not known")
@@ -29,12 +29,12 @@
 	var r *result
 	defer func() { f.end(backend, r) }()
 	for range maxTickets {
-		r = f.send(ctx, s, backend, owner, number, impatient)
+		r = f.send(ctx, s, backend, owner, number, way)
 		if r.outcome.Reason != fleet.ReasonTicket {
 			break
 		}
 	}
-	r.glanced = impatient && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
+	r.glanced = way == glance && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
 	f.observe(s, backend, r, f.clock.Since(start))
 	return r
 }
@@ -54,15 +54,13 @@
 	}
 }
 
-func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, impatient bool) *result {
+func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, way approach) *result {
 	if ctx.Err() != nil {
 		return refused(fleet.EndReason(ctx), "the time limit passed before the request was sent")
 	}
 	ticket := f.tickets.get(owner.ID)
 	request := f.outgoing(ctx, s, backend, owner, number, ticket)
-	if impatient {
-		request.Header.Set(fleet.HeaderPatience, "none")
-	}
+	way.set(request.Header)
 	exchange, err := f.pooler.Send(ctx, pooler.Message{
 		Address: owner.PeerAddress,
 		Request: request,
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -90,7 +90,7 @@
 	routes := f.matcher()
 	route, found := routes.Match(service, matcher.Host(r.Host), r.Method, r.URL.Path)
 	if found {
-		return f.divide(route), nil
+		return divide(route), nil
 	}
 	if service == "" {
 		return route, fmt.Errorf("no route matches %s %s on host %q", r.Method, r.URL.Path, r.Host)
@@ -101,21 +101,10 @@
 	return fleet.Route{Service: service, Idempotent: safe(r.Method)}, nil
 }
 
-// divide draws the service of a request among the shares of its route.
-func (f *Forwarder) divide(route fleet.Route) fleet.Route {
-	total := 0
-	for _, share := range route.Split {
-		total += share.Weight
-	}
-	if total <= 0 {
-		return route
-	}
-	drawn := rand.IntN(total)
-	for _, share := range route.Split {
-		if drawn -= share.Weight; drawn < 0 {
-			route.Service = share.Service
-			break
-		}
+// divide draws the service of a request where its route has several.
+func divide(route fleet.Route) fleet.Route {
+	if total := route.Split.Total(); total > 0 {
+		route.Service = route.Split.At(rand.IntN(total))
 	}
 	return route
 }
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -10,8 +10,12 @@
 	"cowsliptally.example/cowsliptally/retrier"
 )
 
-// maxLostOwners bounds the owners that one submission may lose.
-const maxLostOwners = 2
+const (
+	// maxLostOwners bounds the owners that one submission may lose.
+	maxLostOwners = 2
+	// maxDoubted bounds the doubted backend servers that a submission passes over.
+	maxDoubted = 6
+)
 
 // search is the state of the attempts of one submission.
 type search struct {
@@ -20,6 +24,8 @@
 	tried []fleet.BackendID
 	// full holds those that had no free slot; one of them is chosen to wait for.
 	full []fleet.BackendID
+	// doubted holds those that failed of late; they are used when no other is left.
+	doubted []fleet.BackendID
 	// ran is the number of attempts that ran or may have run.
 	ran int
 	// failed is an answer that reports an error, kept in case no better one comes.
@@ -33,48 +39,54 @@
 	var last *result
 	for number := 1; ; number++ {
 		t.candidates = f.directory.Backends(s.service)
-		impatient := f.glances(s, t)
-		backend, found := f.choose(s, t)
+		backend, approach, found := f.choose(s, t)
 		if !found {
 			return t.best(f.without(s, last))
 		}
-		last = f.attempt(ctx, s, backend, number, impatient)
+		last = f.attempt(ctx, s, backend, number, approach)
 		if last.answered() && !f.replaceable(s, last) {
 			return t.better(last)
 		}
 		s.note(last)
 		t.note(backend, last)
-		if !f.again(ctx, s, number, t.ran, last) {
+		if !f.again(ctx, s, number-t.looked(), t.ran, last) {
 			return t.best(last)
 		}
 		t.keep(last)
 	}
 }
 
-// glances reports whether the next attempt only looks for a free slot. Large bodies
-// are not sent to look.
-func (f *Forwarder) glances(s *submission, t *search) bool {
+// looks reports whether the next attempt only looks for a backend server that runs it
+// at once. Large bodies are not sent to look.
+func (f *Forwarder) looks(s *submission, t *search) bool {
 	return len(t.full) < f.maxGlances && len(s.content.Bytes()) <= maxGlanceBody
 }
 
-// choose picks the next backend server: one that was not tried, on a path that did not
-// fail of late; else one of those that were full; else one on a path that failed.
-func (f *Forwarder) choose(s *submission, t *search) (fleet.Backend, bool) {
+// choose picks the next backend server and how to approach it: one that was not tried
+// and on a path that did not fail of late; else one that was full, to wait for a slot;
+// else one that is doubted; else one on a path that failed.
+func (f *Forwarder) choose(s *submission, t *search) (fleet.Backend, approach, bool) {
 	avoided := f.avoider.Among(t.candidates)
-	exclusions := [][]fleet.BackendID{
-		slices.Concat(t.tried, t.full, avoided),
-		slices.Concat(t.tried, avoided),
-		t.tried,
-	}
-	if !f.glances(s, t) {
-		exclusions = exclusions[1:]
-	}
-	for _, excluded := range exclusions {
-		if backend, found := f.picker.Pick(s.service, t.candidates, excluded, s.idempotent); found {
-			return backend, true
+	stages := []struct {
+		excluded []fleet.BackendID
+		approach approach
+	}{
+		{slices.Concat(t.tried, t.full, t.doubted, avoided), glance},
+		{slices.Concat(t.tried, t.doubted, avoided), queue},
+		{slices.Concat(t.tried, avoided), insist},
+		{t.tried, insist},
+	}
+	if len(t.doubted) >= maxDoubted {
+		stages = stages[2:]
+	} else if !f.looks(s, t) {
+		stages = stages[1:]
+	}
+	for _, stage := range stages {
+		if backend, found := f.picker.Pick(s.service, t.candidates, stage.excluded, s.idempotent); found {
+			return backend, stage.approach, true
 		}
 	}
-	return fleet.Backend{}, false
+	return fleet.Backend{}, insist, false
 }
 
 // replaceable reports whether an answer reports an error in whose place another backend
@@ -88,6 +100,8 @@
 	switch {
 	case last.glanced:
 		t.full = append(t.full, backend.ID)
+	case last.outcome.Reason == fleet.ReasonDoubt:
+		t.doubted = append(t.doubted, backend.ID)
 	case !last.blameless || last.outcome.Executed != fleet.ExecutedNo:
 		t.tried = append(t.tried, backend.ID)
 	}
@@ -145,10 +159,12 @@
 	return refused(fleet.ReasonNoBackend, "service "+string(s.service)+" has no backend server that takes work")
 }
 
-// again asks for a retry and waits until it is due. Looking for a free slot elsewhere
-// is no retry.
+// looked returns the attempts that only looked.
+func (t *search) looked() int { return len(t.full) + len(t.doubted) }
+
+// again asks for a retry and waits until it is due. Looking elsewhere is no retry.
 func (f *Forwarder) again(ctx context.Context, s *submission, number, ran int, last *result) bool {
-	if last.glanced {
+	if last.glanced || last.outcome.Reason == fleet.ReasonDoubt {
 		return ctx.Err() == nil
 	}
 	decision := f.retrier.Decide(retrier.Attempt{
--- a/settings/node.go
+++ b/settings/node.go
@@ -16,6 +16,9 @@
 	maxGlances = 16
 )
 
+// VerdictsOwner is the value of Verdicts with which only owners judge.
+const VerdictsOwner = "owner"
+
 var wordPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
 // Node is the settings of one node. Each field is a flag and an environment
@@ -37,6 +40,7 @@
 	Memory                int64         `help:"Bytes that all bodies in flight may take." default:"33554432"`
 	Linger                time.Duration `help:"Time after SIGTERM during which new requests are still taken, so that callers move to other nodes." default:"2s"`
 	Glances               int           `help:"Backend servers at which a request looks for a free slot before it waits at one." default:"0"`
+	Verdicts              string        `help:"Who judges backend servers: the fleet, or each owner alone from the results of the last seconds." enum:"fleet,owner" default:"fleet"`
 	RepeatErrors          bool          `help:"Send idempotent requests again that a backend server answered with an error." default:"false"`
 	Undelimited           bool          `help:"Take answers of backend servers whose end is that of their connection." default:"false"`
 	Lease                 time.Duration `help:"Time after which a backend server that announced nothing is gone." default:"3s"`
--- a/translator/configuration.go
+++ b/translator/configuration.go
@@ -51,7 +51,7 @@
 		TargetMs:     uint32(r.Target.Milliseconds()),
 		MaxAttempts:  uint32(r.MaxAttempts),
 	}
-	for _, share := range r.Split {
+	for _, share := range r.Split.Shares() {
 		message.Split = append(message.Split, &cowsliptallyv1.Share{
 			Service: string(share.Service), Weight: uint32(share.Weight),
 		})
@@ -75,11 +75,13 @@
 		Target:      time.Duration(m.GetTargetMs()) * time.Millisecond,
 		MaxAttempts: int(m.GetMaxAttempts()),
 	}
+	var shares []fleet.Share
 	for _, share := range m.GetSplit() {
-		route.Split = append(route.Split, fleet.Share{
+		shares = append(shares, fleet.Share{
 			Service: fleet.ServiceName(share.GetService()), Weight: int(share.GetWeight()),
 		})
 	}
+	route.Split = fleet.NewSplit(shares...)
 	return route
 }
 
