--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -45,8 +45,11 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	h := a.holds[node]
-	if now.Before(h.until) {
+	switch {
+	case now.Before(h.until):
 		return
+	case now.Sub(h.until) > maxHold:
+		h.length = 0
 	}
 	h.length = min(max(firstHold, 2*h.length), maxHold)
 	h.until = now.Add(h.length)
@@ -84,14 +87,3 @@
 	}
 	return avoided
 }
-
-// Forget drops holds that ended long ago.
-func (a *Avoider) Forget() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for node, h := range a.holds {
-		if a.clock.Since(h.until) > maxHold {
-			delete(a.holds, node)
-		}
-	}
-}
--- a/avoider/avoider_test.go
+++ b/avoider/avoider_test.go
@@ -40,3 +40,14 @@
 	a.Failed("n1")
 	is.Equal(a.Among(backends), []fleet.BackendID{"b1", "b3"})
 }
+
+func TestOldFailuresAreForgotten(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	a := avoider.New(clock)
+	a.Failed("n1")
+	clock.Advance(time.Minute)
+	a.Failed("n1")
+	clock.Advance(500 * time.Millisecond)
+	is.True(!a.Avoided("n1"))
+}
