Charge a retry for nested calls only if there was time for them

Ruled out: a higher share of the budget with the same price; lost answers, after which nested calls really come again, would pass the bound at the second service.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -35,7 +35,8 @@
 		}
 	}
 	r.glanced = way == glance && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
-	f.observe(s, backend, r, f.clock.Since(start))
+	r.took = f.clock.Since(start)
+	f.observe(s, backend, r)
 	return r
 }
 
@@ -221,7 +222,7 @@
 }
 
 // observe gives the result to the judges of health, unless only a connection was at fault.
-func (f *Forwarder) observe(s *submission, backend fleet.Backend, r *result, took time.Duration) {
+func (f *Forwarder) observe(s *submission, backend fleet.Backend, r *result) {
 	if r.blameless {
 		return
 	}
@@ -232,7 +233,7 @@
 		Kind:        s.kind,
 		Class:       r.class(),
 		ServiceTime: r.serviceTime,
-		PathTime:    max(took, 1),
+		PathTime:    max(r.took, 1),
 	})
 }
 
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -20,6 +20,8 @@
 	reached bool
 	// glanced is set when the owner only had no free slot for an attempt that would not wait.
 	glanced bool
+	// took is how long the attempt lasted.
+	took time.Duration
 	// exchange and content hold the answer when there is one.
 	exchange *pooler.Exchange
 	content  *collector.Content
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -174,6 +174,7 @@
 		MaxRuns:    s.maxRuns,
 		Reached:    last.reached || last.outcome.Executed != fleet.ExecutedNo,
 		Failed:     last.answered(),
+		Took:       last.took,
 		Outcome:    last.outcome,
 		Idempotent: s.idempotent,
 		Remaining:  s.deadline.Sub(f.clock.Now()),
--- a/retrier/allowance.go
+++ b/retrier/allowance.go
@@ -1,6 +1,10 @@
 package retrier
 
-import "cowsliptally.example/cowsliptally/fleet"
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
 
 // Allowance is one node's part of a retry budget that a whole fleet must keep.
 type Allowance struct {
@@ -14,9 +18,12 @@
 	Unreached float64
 	// Reached is what a retry costs whose attempt before arrived but did not run.
 	Reached float64
-	// Ran is what a retry costs whose attempt before ran or may have run: its nested
-	// calls may be made again as well.
-	Ran float64
+	// Ran is what a retry costs whose attempt before ran or may have run for longer than
+	// Nested: its nested calls may be made again as well.
+	Ran    float64
+	Nested time.Duration
+	// Start is the number of retries at the start of the node.
+	Start float64
 }
 
 // cost returns the price of a retry after a failed attempt.
@@ -24,7 +31,7 @@
 	switch {
 	case !failed.Reached:
 		return a.Unreached
-	case failed.Failed || failed.Outcome.Executed != fleet.ExecutedNo:
+	case (failed.Failed || failed.Outcome.Executed != fleet.ExecutedNo) && failed.Took >= a.Nested:
 		return a.Ran
 	default:
 		return a.Reached
--- a/retrier/attempt.go
+++ b/retrier/attempt.go
@@ -19,6 +19,8 @@
 	Reached bool
 	// Failed tells that the backend server answered with an error, which another answer may replace.
 	Failed bool
+	// Took is how long the failed attempt lasted.
+	Took time.Duration
 	// Outcome is the proof and the reason of the failure.
 	Outcome    fleet.Outcome
 	Idempotent bool
--- a/retrier/option.go
+++ b/retrier/option.go
@@ -24,11 +24,10 @@
 
 // WithBudget sets the share of retries earned by each request and the number that may be saved up.
 func WithBudget(ratio, burst float64) Option {
-	return func(r *Retrier) { r.allowance.PerRequest, r.allowance.Burst = ratio, burst }
+	return func(r *Retrier) { r.allowance.PerRequest, r.allowance.Burst, r.allowance.Start = ratio, burst, burst }
 }
 
-// WithAllowance replaces the budget by what allowance returns at each request. Budgets
-// then start empty, so that restarts of many nodes do not add up.
+// WithAllowance replaces the budget by what allowance returns at each request.
 func WithAllowance(allowance func() Allowance) Option {
 	return func(r *Retrier) { r.shared = allowance }
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -28,7 +28,7 @@
 // New returns a retrier with full budgets.
 func New(options ...Option) *Retrier {
 	r := &Retrier{
-		allowance: Allowance{PerRequest: DefaultRatio, Burst: DefaultBurst, Unreached: 1, Reached: 1, Ran: 1},
+		allowance: Allowance{PerRequest: DefaultRatio, Burst: DefaultBurst, Start: DefaultBurst, Unreached: 1, Reached: 1, Ran: 1},
 		attempts:  MaxAttempts,
 		base:      DefaultBase,
 		random:    rand.Float64,
@@ -115,10 +115,7 @@
 	now := r.clock.Now()
 	left, found := r.budgets[service]
 	if !found {
-		left = &budget{refilled: now}
-		if r.shared == nil {
-			left.tokens = allowance.Burst
-		}
+		left = &budget{refilled: now, tokens: allowance.Start}
 		r.budgets[service] = left
 	}
 	left.refill(now, allowance.PerSecond, allowance.Burst)
