Remember at the ingress which backend servers their owners doubt

Cause: a backend server that fails is idle, so the choice of the less loaded of two fell on it first; six refusals later the request insisted. Ruled out: an estimate that finds failures too late; without insisting a copy fails about six times in 12 s.

--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -1,5 +1,6 @@
-// Package avoider remembers which nodes this node could not reach of late, so that
-// requests go round a broken path before membership knows of it.
+// Package avoider remembers what is better left alone for a moment: nodes that could
+// not be reached, so that requests go round a broken path before membership knows of it,
+// and backend servers whose owner refused work for them.
 package avoider
 
 import (
@@ -18,6 +19,9 @@
 	// maxHold bounds the hold, which doubles with each failure; membership knows of
 	// a dead node by then.
 	maxHold = 4 * time.Second
+	// doubtHold is how long a backend server is left alone that its owner doubts. Other
+	// nodes send trials meanwhile.
+	doubtHold = time.Second
 )
 
 // Avoider holds the nodes to avoid. It is safe for concurrent use.
@@ -26,6 +30,8 @@
 
 	mu    sync.Mutex
 	holds map[fleet.NodeID]hold
+	// doubts holds until when backend servers are left alone.
+	doubts map[fleet.BackendID]time.Time
 }
 
 // hold is one node to avoid.
@@ -36,7 +42,11 @@
 
 // New returns an avoider that avoids no node.
 func New(clock clockwork.Clock) *Avoider {
-	return &Avoider{clock: clock, holds: make(map[fleet.NodeID]hold)}
+	return &Avoider{
+		clock:  clock,
+		holds:  make(map[fleet.NodeID]hold),
+		doubts: make(map[fleet.BackendID]time.Time),
+	}
 }
 
 // Failed tells that a node could not be reached. Failures during a hold count once.
@@ -71,19 +81,35 @@
 	return found && a.clock.Now().Before(h.until)
 }
 
-// Among returns the backend servers of nodes to avoid, or nil when there are none.
-func (a *Avoider) Among(backends []fleet.Backend) []fleet.BackendID {
+// Doubted tells that the owner of a backend server doubts it.
+func (a *Avoider) Doubted(id fleet.BackendID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.holds) == 0 {
-		return nil
+	now := a.clock.Now()
+	for known, until := range a.doubts {
+		if !now.Before(until) {
+			delete(a.doubts, known)
+		}
+	}
+	a.doubts[id] = now.Add(doubtHold)
+}
+
+// Among returns the backend servers whose node cannot be reached, and those that are
+// doubted; either is nil when there are none.
+func (a *Avoider) Among(backends []fleet.Backend) (avoided, doubted []fleet.BackendID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.holds) == 0 && len(a.doubts) == 0 {
+		return nil, nil
 	}
 	now := a.clock.Now()
-	var avoided []fleet.BackendID
 	for _, backend := range backends {
 		if h, found := a.holds[backend.Owner]; found && now.Before(h.until) {
 			avoided = append(avoided, backend.ID)
 		}
+		if until, found := a.doubts[backend.ID]; found && now.Before(until) {
+			doubted = append(doubted, backend.ID)
+		}
 	}
-	return avoided
+	return avoided, doubted
 }
--- a/avoider/avoider_test.go
+++ b/avoider/avoider_test.go
@@ -34,11 +34,20 @@
 
 func TestAmongNamesBackendServersOfAvoidedNodes(t *testing.T) {
 	is := is.New(t)
-	a := avoider.New(clockwork.NewFakeClock())
+	clock := clockwork.NewFakeClock()
+	a := avoider.New(clock)
 	backends := []fleet.Backend{{ID: "b1", Owner: "n1"}, {ID: "b2", Owner: "n2"}, {ID: "b3", Owner: "n1"}}
-	is.Equal(len(a.Among(backends)), 0)
+	avoided, doubted := a.Among(backends)
+	is.Equal(len(avoided)+len(doubted), 0)
 	a.Failed("n1")
-	is.Equal(a.Among(backends), []fleet.BackendID{"b1", "b3"})
+	a.Doubted("b2")
+	avoided, doubted = a.Among(backends)
+	is.Equal(avoided, []fleet.BackendID{"b1", "b3"})
+	is.Equal(doubted, []fleet.BackendID{"b2"})
+	clock.Advance(time.Second)
+	a.Doubted("b1")
+	_, doubted = a.Among(backends)
+	is.Equal(doubted, []fleet.BackendID{"b1"})
 }
 
 func TestOldFailuresAreForgotten(t *testing.T) {
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -49,6 +49,9 @@
 		}
 		s.note(last)
 		t.note(backend, last)
+		if last.outcome.Reason == fleet.ReasonDoubt {
+			f.avoider.Doubted(backend.ID)
+		}
 		if !f.again(ctx, s, number-t.looked(), t.ran, last) {
 			return t.best(last)
 		}
@@ -66,18 +69,19 @@
 // and on a path that did not fail of late; else one that was full, to wait for a slot;
 // else one that is doubted; else one on a path that failed.
 func (f *Forwarder) choose(s *submission, t *search) (fleet.Backend, approach, bool) {
-	avoided := f.avoider.Among(t.candidates)
+	avoided, doubted := f.avoider.Among(t.candidates)
 	stages := []struct {
 		excluded []fleet.BackendID
 		approach approach
 	}{
-		{slices.Concat(t.tried, t.full, t.doubted, avoided), glance},
+		{slices.Concat(t.tried, t.full, t.doubted, doubted, avoided), glance},
+		{slices.Concat(t.tried, t.doubted, doubted, avoided), queue},
 		{slices.Concat(t.tried, t.doubted, avoided), queue},
 		{slices.Concat(t.tried, avoided), insist},
 		{t.tried, insist},
 	}
 	if len(t.doubted) >= maxDoubted {
-		stages = stages[2:]
+		stages = stages[3:]
 	} else if !f.looks(s, t) {
 		stages = stages[1:]
 	}
