Log one line for each request and each change of belief

Cause: a failure could not be explained from the logs of the platform's nodes: answered requests left no line, nor did doubts and avoided paths, and a full output would have held requests up. Ruled out: a line for each attempt at the owner; the ingress's line lists them all, and the owner adds one only for what was not as usual. Before: events of refusals and members only.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # cowsliptally: entry points. Only Go and make are needed.
 
 LINTER_VERSION := v2.15.0
+BUF_VERSION := v1.57.0
+GENERATOR_VERSION := v1.36.12
+CONNECT_VERSION := v1.21.1
 GOBIN := $(shell go env GOPATH)/bin
 LINTER := $(GOBIN)/golangci-lint
 SEED ?= 1
@@ -21,23 +24,21 @@
 test:
 	go test -race -timeout 12m ./...
 
-# Checks format, linter and, where buf is installed, the generated code.
+# Checks format, linter, go.mod and the generated code.
 check: install-tools
 	$(LINTER) fmt --diff
 	$(LINTER) run ./...
 	go mod tidy -diff
-	@if command -v buf >/dev/null 2>&1 || [ -x $(GOBIN)/buf ]; then \
-		PATH="$$PATH:$(GOBIN)" buf lint && \
-		PATH="$$PATH:$(GOBIN)" ./tools/generated; \
-	else echo "buf is not installed: generated code not compared"; fi
+	PATH="$(GOBIN):$$PATH" buf lint
+	PATH="$(GOBIN):$$PATH" ./tools/generated
 
 # Formats the code.
 format: install-tools
 	$(LINTER) fmt
 
-# Regenerates gen/ from schema/; needs buf, protoc-gen-go and protoc-gen-connect-go.
-generate:
-	PATH="$$PATH:$(GOBIN)" buf generate
+# Regenerates gen/ from schema/.
+generate: install-tools
+	PATH="$(GOBIN):$$PATH" buf generate
 
 # Runs the benchmarks; speeds are compared as ratios in one run.
 bench:
@@ -54,6 +55,9 @@
 install-tools:
 	@[ -x $(LINTER) ] && $(LINTER) version 2>/dev/null | grep -q "$(LINTER_VERSION:v%=%)" || \
 		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+	@./tools/pinned buf $(BUF_VERSION) github.com/bufbuild/buf/cmd/buf
+	@./tools/pinned protoc-gen-go $(GENERATOR_VERSION) google.golang.org/protobuf/cmd/protoc-gen-go
+	@./tools/pinned protoc-gen-connect-go $(CONNECT_VERSION) connectrpc.com/connect/cmd/protoc-gen-connect-go
 
 clean:
 	rm -rf bin
--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -49,28 +49,32 @@
 	}
 }
 
-// Failed tells that a node could not be reached. Failures during a hold count once.
-func (a *Avoider) Failed(node fleet.NodeID) {
+// Failed tells that a node could not be reached, and returns how long it is avoided.
+// Failures during a hold count once.
+func (a *Avoider) Failed(node fleet.NodeID) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	h := a.holds[node]
 	switch {
 	case now.Before(h.until):
-		return
+		return h.until.Sub(now)
 	case now.Sub(h.until) > maxHold:
 		h.length = 0
 	}
 	h.length = min(max(firstHold, 2*h.length), maxHold)
 	h.until = now.Add(h.length)
 	a.holds[node] = h
+	return h.length
 }
 
-// Reached tells that a node answered.
-func (a *Avoider) Reached(node fleet.NodeID) {
+// Reached tells that a node answered, and returns whether it had failed before.
+func (a *Avoider) Reached(node fleet.NodeID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	_, failed := a.holds[node]
 	delete(a.holds, node)
+	return failed
 }
 
 // Avoided reports whether a node is to be avoided at present.
--- a/command/node.go
+++ b/command/node.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 
 	"cowsliptally.example/cowsliptally/daemon"
 	"cowsliptally.example/cowsliptally/settings"
+	"cowsliptally.example/cowsliptally/spooler"
 )
 
 // Node runs a node until SIGTERM or SIGINT.
@@ -25,16 +28,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return trace.Wrap(daemon.New(n.Node, daemon.WithLogger(newLogger(n.LogLevel))).Run(ctx))
+	lines, stopLines := spooler.Start(os.Stdout, clockwork.NewRealClock())
+	err := daemon.New(n.Node, daemon.WithLogger(newLogger(lines, n.LogLevel))).Run(ctx)
+	return trace.NewAggregate(err, stopLines())
 }
 
 // newLogger returns a logger that writes one key=value line for each event.
-func newLogger(level string) *log.Logger {
+func newLogger(out io.Writer, level string) *log.Logger {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		parsed = log.InfoLevel
 	}
-	return log.NewWithOptions(os.Stderr, log.Options{
+	return log.NewWithOptions(out, log.Options{
 		Level:           parsed,
 		ReportTimestamp: true,
 		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -35,15 +36,19 @@
 func (a *attempt) serve(ctx context.Context, w http.ResponseWriter) {
 	d := a.dispatcher
 	beats := startHeartbeat(w, d.clock, d.heartbeat)
+	arrived := d.clock.Now()
 	id, outcome := a.admit(ctx)
 	if outcome.Reason != "" {
 		beats.stop()
+		if !a.call.impatient {
+			a.record(string(outcome.Reason), fleet.Figure{Name: "waited", Value: milliseconds(d.clock.Since(arrived)), Unit: "ms"})
+		}
 		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
 	}
 	a.gate.start(id, a.call.kind)
 	result, took := a.observed(ctx)
-	a.gate.finish(id, a.class(result))
+	a.finish(id, result, took)
 	beats.stop()
 	defer result.close()
 	if result.outcome.Executed != fleet.ExecutedYes {
@@ -63,6 +68,33 @@
 	a.answer(w, result, took)
 }
 
+// finish tells the estimate how the attempt ended, and the log unless it was as usual.
+func (a *attempt) finish(id admitter.ID, r *result, took time.Duration) {
+	class := a.class(r)
+	failing, changed := a.gate.finish(id, class)
+	probability := fleet.Figure{Name: "failing", Value: failing}
+	if class != fleet.ClassOK {
+		reason := string(r.outcome.Reason)
+		if r.outcome.Executed == fleet.ExecutedYes {
+			reason = strconv.Itoa(r.exchange.Response.StatusCode)
+		}
+		a.record(reason, fleet.Figure{Name: "took", Value: milliseconds(took), Unit: "ms"}, probability)
+	}
+	if changed != "" {
+		event := fleet.NewEvent(fleet.EventDoubt, string(a.backend.ID), changed, probability)
+		a.dispatcher.recorder.Record(event.WithService(a.backend.Service).WithDetail("after request " + string(a.call.request)))
+	}
+}
+
+// record tells the log of this attempt.
+func (a *attempt) record(reason string, figures ...fleet.Figure) {
+	figures = append([]fleet.Figure{{Name: "attempt", Value: float64(a.call.attempt)}}, figures...)
+	event := fleet.NewEvent(fleet.EventAttempt, string(a.call.request), reason, figures...)
+	a.dispatcher.recorder.Record(event.WithService(a.backend.Service).WithDetail("at " + string(a.backend.ID)))
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // admit gets a slot for the attempt and counts it as dispatched, or says why not.
 func (a *attempt) admit(ctx context.Context) (admitter.ID, fleet.Outcome) {
 	id, reason := a.gate.enter(ctx, a.call)
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -23,6 +23,8 @@
 	waiters  map[admitter.ID]chan admitter.Decision
 	// estimator judges the backend server; nil takes it to be sound.
 	estimator *estimator.Estimator
+	// doubted is what the log was told last.
+	doubted bool
 	// running holds the identities of the requests in slots.
 	running map[admitter.ID]string
 }
@@ -93,12 +95,13 @@
 	}
 }
 
-// finish tells the estimator how a request ended.
-func (g *gate) finish(id admitter.ID, class fleet.Class) {
+// finish tells the estimator how a request ended. It returns the probability that the
+// backend server fails, and "failing" or "sound" when the judgement changed by it.
+func (g *gate) finish(id admitter.ID, class fleet.Class) (failing float64, changed string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.estimator == nil {
-		return
+		return 0, ""
 	}
 	result := estimator.Failed
 	switch class {
@@ -108,6 +111,16 @@
 		result = estimator.Undecided
 	}
 	g.estimator.End(uint64(id), result, g.clock.Now())
+	failing = g.estimator.Failing(g.clock.Now())
+	doubted := estimator.Doubts(failing)
+	if doubted == g.doubted {
+		return failing, ""
+	}
+	g.doubted = doubted
+	if doubted {
+		return failing, "failing"
+	}
+	return failing, "sound"
 }
 
 // close refuses all that waits.
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -131,12 +131,15 @@
 // Admits reports whether a request may be sent. While the backend server is doubted
 // only a trial may: an idempotent request, one at a time, some time after a failure.
 func (e *Estimator) Admits(idempotent bool, now time.Time) bool {
-	if e.Failing(now) < doubtAbove {
+	if !Doubts(e.Failing(now)) {
 		return true
 	}
 	return idempotent && len(e.running) == 0 && now.Sub(e.failed) >= e.spacing
 }
 
+// Doubts reports whether a probability of the failing state means doubt.
+func Doubts(failing float64) bool { return failing >= doubtAbove }
+
 // fail spaces the trials.
 func (e *Estimator) fail(now time.Time) {
 	e.failed = now
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -40,6 +40,14 @@
 	EventSkipped EventKind = "skipped"
 	// EventSealed is a request that was sealed.
 	EventSealed EventKind = "sealed"
+	// EventRequest is a request that its backend server answered.
+	EventRequest EventKind = "request"
+	// EventAttempt is an attempt that its owner could not answer as usual.
+	EventAttempt EventKind = "attempt"
+	// EventDoubt is a backend server that its owner begins or ends to doubt.
+	EventDoubt EventKind = "doubt"
+	// EventPath is a node that this node cannot reach, or reaches again.
+	EventPath EventKind = "path"
 	// EventSilent is a connection that made no progress and was dropped.
 	EventSilent EventKind = "silent"
 )
@@ -54,6 +62,8 @@
 	Subject string
 	Reason  string
 	Figures []Figure
+	// Detail is what was tried, in order, or what else explains the event.
+	Detail string
 	// Sequence is the place in the node's journal, from 1.
 	Sequence uint64
 }
@@ -63,6 +73,12 @@
 	return Event{Kind: kind, Subject: subject, Reason: reason, Figures: figures}
 }
 
+// WithDetail returns a copy with a detail.
+func (e Event) WithDetail(detail string) Event {
+	e.Detail = detail
+	return e
+}
+
 // WithService returns a copy that names a service.
 func (e Event) WithService(service ServiceName) Event {
 	e.Service = service
--- a/forwarder/approach.go
+++ b/forwarder/approach.go
@@ -18,6 +18,18 @@
 	insist
 )
 
+// String returns the name in logs.
+func (a approach) String() string {
+	switch a {
+	case glance:
+		return "glance"
+	case queue:
+		return "queue"
+	default:
+		return "insist"
+	}
+}
+
 // set tells the owner.
 func (a approach) set(head http.Header) {
 	switch a {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -71,7 +71,9 @@
 		f.blame(ctx, owner, err)
 		return f.unanswered(ctx, s, owner, number, ticket, exchange, err)
 	}
-	f.avoider.Reached(owner.ID)
+	if f.avoider.Reached(owner.ID) {
+		f.recorder.Record(fleet.NewEvent(fleet.EventPath, string(owner.ID), "reached"))
+	}
 	return f.received(ctx, s, backend, exchange)
 }
 
@@ -79,7 +81,9 @@
 // nothing came, unless the caller's time was up.
 func (f *Forwarder) blame(ctx context.Context, owner fleet.Member, err error) {
 	if ctx.Err() == nil && fault.KindOf[pooler.Kind](err) != pooler.KindBroken {
-		f.avoider.Failed(owner.ID)
+		hold := f.avoider.Failed(owner.ID)
+		f.recorder.Record(fleet.NewEvent(fleet.EventPath, string(owner.ID), "avoided",
+			fleet.Figure{Name: "hold", Value: milliseconds(hold), Unit: "ms"}).WithDetail(err.Error()))
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -162,6 +164,7 @@
 		found.outcome.Executed = fleet.ExecutedUnknown
 	}
 	if found.answered() {
+		f.recorder.Record(f.event(fleet.EventRequest, s, strconv.Itoa(found.exchange.Response.StatusCode)))
 		f.answer(w, s, found)
 		return
 	}
@@ -220,7 +223,7 @@
 
 // refuse tells the caller why there is no answer.
 func (f *Forwarder) refuse(w http.ResponseWriter, s *submission, r *result) {
-	f.recorder.Record(fleet.NewEvent(fleet.EventRefusal, string(s.id), string(r.outcome.Reason)).WithService(s.service))
+	f.recorder.Record(f.event(fleet.EventRefusal, s, string(r.outcome.Reason)))
 	f.limitWriting(w)
 	refuser.Refuse(w, refuser.Refusal{
 		Request:  s.id,
@@ -230,6 +233,26 @@
 	})
 }
 
+// event tells how a submission ended and what decided it.
+func (f *Forwarder) event(kind fleet.EventKind, s *submission, reason string) fleet.Event {
+	event := fleet.NewEvent(kind, string(s.id), reason).WithService(s.service)
+	if s.started.IsZero() {
+		return event
+	}
+	now := f.clock.Now()
+	event.Figures = []fleet.Figure{
+		{Name: "revision", Value: float64(s.revision)},
+		{Name: "took", Value: milliseconds(now.Sub(s.started)), Unit: "ms"},
+	}
+	if s.deadline.IsZero() {
+		return event.WithDetail(s.request.Host + s.request.URL.Path)
+	}
+	event.Figures = append(event.Figures, fleet.Figure{Name: "left", Value: milliseconds(s.deadline.Sub(now)), Unit: "ms"})
+	return event.WithDetail(string(s.kind) + ": " + strings.Join(s.trace, "; "))
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // matcher returns the index over the routes in force.
 func (f *Forwarder) matcher() *matcher.Matcher {
 	configuration := f.configurations.Configuration()
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"cowsliptally.example/cowsliptally/collector"
@@ -50,3 +52,12 @@
 		r.content.Release()
 	}
 }
+
+// describe tells an attempt in one word after another, for logs.
+func (r *result) describe(backend fleet.Backend, way approach) string {
+	ending := string(r.outcome.Reason)
+	if r.answered() {
+		ending = strconv.Itoa(r.exchange.Response.StatusCode)
+	}
+	return fmt.Sprintf("%s %s@%s %s %dms", way, backend.ID, backend.Owner, ending, r.took.Milliseconds())
+}
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -37,6 +37,12 @@
 	// target is when an answer begins to be worth less; zero if it never does.
 	target  time.Time
 	granted bool
+	// started is when the request was taken from its caller.
+	started time.Time
+	// revision is that of the configuration that chose the service.
+	revision fleet.Revision
+	// trace tells each attempt: its way, where it went, how it ended and how long it took.
+	trace []string
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// lostOwners counts the owners that could not be asked any more about an attempt.
@@ -66,6 +72,7 @@
 	if r.Method == http.MethodConnect || header.Get("Upgrade") != "" {
 		return s, fleet.ReasonBadRequest, fmt.Errorf("method CONNECT and protocol upgrades are not served")
 	}
+	s.started, s.revision = f.clock.Now(), f.configurations.Configuration().Revision()
 	route, err := f.route(r)
 	if err != nil {
 		return s, fleet.ReasonNoRoute, err
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -44,6 +44,7 @@
 			return t.best(f.without(s, last))
 		}
 		last = f.attempt(ctx, s, backend, number, approach)
+		s.trace = append(s.trace, last.describe(backend, approach))
 		if last.answered() && !f.replaceable(s, last) {
 			return t.better(last)
 		}
--- a/recorder/fields.go
+++ b/recorder/fields.go
@@ -17,14 +17,14 @@
 	return string(event.Kind) + "." + event.Reason
 }
 
-// isWord reports whether a text is a short word of lower-case letters and
-// hyphens, so that the number of counters stays bounded.
+// isWord reports whether a text is a short word of lower-case letters, digits
+// and hyphens, so that the number of counters stays bounded.
 func isWord(text string) bool {
 	if text == "" || len(text) > maxWord {
 		return false
 	}
 	for _, r := range text {
-		if (r < 'a' || r > 'z') && r != '-' {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
 			return false
 		}
 	}
@@ -44,6 +44,9 @@
 	for _, figure := range event.Figures {
 		pairs = append(pairs, figure.Name, formatFigure(figure))
 	}
+	if event.Detail != "" {
+		pairs = append(pairs, "detail", event.Detail)
+	}
 	return pairs
 }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -14,6 +14,12 @@
 // and, apart from them, of single requests.
 const DefaultCapacity = 4096
 
+// sampleSize and sampleAlpha are those of go-metrics' timers: the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
 // Recorder records events. It is safe for concurrent use.
 type Recorder struct {
 	node     fleet.NodeID
@@ -68,6 +74,7 @@
 func (r *Recorder) Record(event fleet.Event) {
 	event = r.enter(event)
 	metrics.GetOrRegisterCounter(counterName(event), r.registry).Inc(1)
+	r.measure(event)
 	if r.logger != nil {
 		r.logger.Info(string(event.Kind), fields(event)...)
 	}
@@ -106,10 +113,26 @@
 	return event
 }
 
+// measure enters the times of a request into histograms.
+func (r *Recorder) measure(event fleet.Event) {
+	if event.Kind != fleet.EventRequest && event.Kind != fleet.EventRefusal && event.Kind != fleet.EventAttempt {
+		return
+	}
+	for _, figure := range event.Figures {
+		if figure.Unit != "ms" {
+			continue
+		}
+		name := string(event.Kind) + "." + figure.Name + "ms"
+		sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
+		histogram := r.registry.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(sample()) })
+		histogram.(metrics.Histogram).Update(int64(figure.Value))
+	}
+}
+
 // windowOf returns the window that keeps events of a kind.
 func (r *Recorder) windowOf(kind fleet.EventKind) *window {
 	switch kind {
-	case fleet.EventRefusal, fleet.EventRetry, fleet.EventSealed:
+	case fleet.EventRefusal, fleet.EventRetry, fleet.EventSealed, fleet.EventRequest, fleet.EventAttempt:
 		return r.requests
 	default:
 		return r.decisions
--- /dev/null
+++ b/spooler/spooler_test.go
@@ -0,0 +1,69 @@
+package spooler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/spooler"
+)
+
+// output holds what is written, after it is let go on.
+type output struct {
+	bytes.Buffer
+	open chan struct{}
+}
+
+// Write waits until the output is open.
+func (o *output) Write(line []byte) (int, error) {
+	<-o.open
+	return o.Buffer.Write(line)
+}
+
+// TestNeverWaitsForTheOutput writes to an output that is stuck.
+func TestNeverWaitsForTheOutput(t *testing.T) {
+	is := is.New(t)
+	out := &output{open: make(chan struct{})}
+	s := spooler.New(out, clockwork.NewFakeClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- s.Run(ctx) }()
+	for i := range 5000 {
+		n, err := fmt.Fprintf(s, "msg=line number=%d\n", i)
+		is.NoErr(err)
+		is.True(n > 0)
+	}
+	close(out.open)
+	cancel()
+	is.NoErr(<-done)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(lines[0], "msg=line number=0")
+	is.Equal(lines[len(lines)-1], fmt.Sprintf("level=warn msg=dropped lines=%d", 5000-(len(lines)-1)))
+	is.True(len(lines) <= 1001)
+}
+
+// TestVolumeIsBounded writes more than the rate for ten seconds.
+func TestVolumeIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	out := &output{open: make(chan struct{})}
+	close(out.open)
+	s := spooler.New(out, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 10 {
+		for range 2000 {
+			fmt.Fprintln(s, "msg=line")
+		}
+		is.NoErr(s.Run(ctx)) // writes what waits
+		clock.Advance(time.Second)
+	}
+	is.True(strings.Count(out.String(), "msg=line") <= 1000+10*200)
+	is.True(strings.Contains(out.String(), "msg=dropped"))
+}
--- a/translator/event.go
+++ b/translator/event.go
@@ -38,6 +38,7 @@
 		Reason:       e.Reason,
 		Figures:      FiguresToMessage(e.Figures),
 		Sequence:     e.Sequence,
+		Detail:       e.Detail,
 	}
 }
 
@@ -52,5 +53,6 @@
 		Reason:   m.GetReason(),
 		Figures:  FiguresFromMessage(m.GetFigures()),
 		Sequence: m.GetSequence(),
+		Detail:   m.GetDetail(),
 	}
 }
