Explain a request from log files, in order of cause

Cause: on the platform there is nobody to ask afterwards; only log lines are left, and the clocks of machines differ. Ruled out: ordering by corrected clocks; an attempt's number says the order exactly. Before: explain asked live nodes. Conclusion: kept; a golden story with a clock 3 s ahead holds it.

--- a/command/explain.go
+++ b/command/explain.go
@@ -1,8 +1,11 @@
 package command
 
 import (
+	"os"
+
 	"cowsliptally.example/cowsliptally/explainer"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/logreader"
 )
 
 // Explain tells what happened, from the journals of all nodes that answer.
@@ -31,14 +34,45 @@
 // ExplainRequest explains a request.
 type ExplainRequest struct {
 	explanation
-	ID string `arg:"" help:"Identifier of the request."`
+	ID   string   `arg:"" help:"Identifier of the request."`
+	Logs []string `help:"Read log lines of nodes from files instead of asking nodes; - is the standard input." placeholder:"FILE"`
 }
 
 // Run prints the story of the request.
 func (e *ExplainRequest) Run(c *Context) error {
+	if len(e.Logs) > 0 {
+		return e.tellFromLogs(c)
+	}
 	return e.tell(c, e.ID, &cowsliptallyv1.ListEventsRequest{Subject: e.ID})
 }
 
+// tellFromLogs prints the story of the request as log lines tell it.
+func (e *ExplainRequest) tellFromLogs(c *Context) error {
+	reader := logreader.New(e.ID)
+	for _, name := range e.Logs {
+		if err := readLog(reader, name); err != nil {
+			return err
+		}
+	}
+	if skipped := reader.Skipped(); skipped > 0 {
+		c.printf("%d lines mention %s and cannot be read\n", skipped, e.ID)
+	}
+	return e.print(c, explainer.New(e.ID, reader.Sources()).ByCause())
+}
+
+// readLog reads one file of log lines.
+func readLog(reader *logreader.Logreader, name string) error {
+	if name == "-" {
+		return reader.Read(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return &Error{Operation: "read logs", Kind: KindInput, Err: err}
+	}
+	defer func() { _ = file.Close() }()
+	return reader.Read(file)
+}
+
 // ExplainService explains a service.
 type ExplainService struct {
 	explanation
@@ -56,7 +90,11 @@
 	if err != nil {
 		return err
 	}
-	story := explainer.New(subject, sources)
+	return e.print(c, explainer.New(subject, sources))
+}
+
+// print prints a story.
+func (e *explanation) print(c *Context, story explainer.Story) error {
 	if e.JSON {
 		return c.printJSON(story)
 	}
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -15,6 +15,7 @@
 	Subject string          `json:"subject,omitempty"`
 	Reason  string          `json:"reason,omitempty"`
 	Figures []Figure        `json:"figures,omitempty"`
+	Detail  string          `json:"detail,omitempty"`
 	Nodes   []string        `json:"nodes"`
 	// Spread is the time from the first node's record to the last one's.
 	Spread time.Duration `json:"spread_ns"`
@@ -24,7 +25,7 @@
 func newLine(event fleet.Event) Line {
 	return Line{
 		Time: event.Time, Kind: event.Kind, Service: string(event.Service), Subject: event.Subject,
-		Reason: event.Reason, Figures: newFigures(event.Figures), Nodes: []string{string(event.Node)},
+		Reason: event.Reason, Figures: newFigures(event.Figures), Detail: event.Detail, Nodes: []string{string(event.Node)},
 	}
 }
 
--- a/explainer/text.go
+++ b/explainer/text.go
@@ -53,6 +53,9 @@
 	if len(l.Figures) > 0 {
 		text += " (" + figures(l.Figures) + ")"
 	}
+	if l.Detail != "" {
+		text += "; " + l.Detail
+	}
 	if len(l.Nodes) > 1 {
 		text += fmt.Sprintf("; first at %s, at the last %s later", l.Nodes[0], l.Spread.Round(time.Millisecond))
 	}
@@ -96,6 +99,14 @@
 		return "skipped a record of the log"
 	case fleet.EventSealed:
 		return "sealed %, which did not run and never will"
+	case fleet.EventRequest:
+		return "passed the answer to % on, with status"
+	case fleet.EventAttempt:
+		return "could not answer an attempt of % as usual"
+	case fleet.EventDoubt:
+		return "judged % anew"
+	case fleet.EventPath:
+		return "changed its view of the path to %"
 	case fleet.EventSilent:
 		return "dropped a connection to % that made no progress"
 	default:
--- /dev/null
+++ b/logreader/logreader_test.go
@@ -0,0 +1,35 @@
+package logreader_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"cowsliptally.example/cowsliptally/explainer"
+	"cowsliptally.example/cowsliptally/logreader"
+)
+
+// TestTellsARequestByCause reads the mixed lines of two nodes, one of whose clocks is
+// three seconds ahead.
+func TestTellsARequestByCause(t *testing.T) {
+	is := is.New(t)
+	file, err := os.Open("testdata/nodes.log")
+	is.NoErr(err)
+	defer file.Close()
+	reader := logreader.New("a17c")
+	is.NoErr(reader.Read(file))
+	is.Equal(reader.Skipped(), 1)
+	story := explainer.New("a17c", reader.Sources()).ByCause()
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "story", []byte(story.Text()))
+}
+
+func TestStreamsThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	reader := logreader.New("a17c")
+	is.True(reader.Read(strings.NewReader(strings.Repeat("x", 2<<20))) != nil)
+	is.NoErr(reader.Read(strings.NewReader("")))
+	is.Equal(len(reader.Sources()), 0)
+}
