--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -59,5 +59,9 @@
 	if r.answered() {
 		ending = strconv.Itoa(r.exchange.Response.StatusCode)
 	}
-	return fmt.Sprintf("%s %s@%s %s %dms", way, backend.ID, backend.Owner, ending, r.took.Milliseconds())
+	text := fmt.Sprintf("%s %s@%s %s %dms", way, backend.ID, backend.Owner, ending, r.took.Milliseconds())
+	if r.serviceTime > 0 {
+		text += fmt.Sprintf(" ran %dms", r.serviceTime.Milliseconds())
+	}
+	return text
 }
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -13,6 +13,9 @@
 const (
 	// maxLostOwners bounds the owners that one submission may lose.
 	maxLostOwners = 2
+	// maxLate bounds the owners that may say that the time left is too short: one slow
+	// backend server may expect more than the others, two do not.
+	maxLate = 2
 	// maxDoubted bounds the doubted backend servers that a submission passes over.
 	maxDoubted = 6
 )
@@ -28,6 +31,8 @@
 	doubted []fleet.BackendID
 	// ran is the number of attempts that ran or may have run.
 	ran int
+	// late is the number of owners that said that the time left is too short.
+	late int
 	// failed is an answer that reports an error, kept in case no better one comes.
 	failed *result
 }
@@ -53,7 +58,7 @@
 		if last.outcome.Reason == fleet.ReasonDoubt {
 			f.avoider.Doubted(backend.ID)
 		}
-		if !f.again(ctx, s, number-t.looked(), t.ran, last) {
+		if t.late >= maxLate || !f.again(ctx, s, number-t.looked(), t.ran, last) {
 			return t.best(last)
 		}
 		t.keep(last)
@@ -112,6 +117,8 @@
 	}
 	if last.outcome.Executed != fleet.ExecutedNo {
 		t.ran++
+	} else if last.outcome.Reason == fleet.ReasonDeadline {
+		t.late++
 	}
 }
 
@@ -186,7 +193,10 @@
 	})
 	if !decision.Retry {
 		if decision.Reason == fleet.ReasonBudget {
-			f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(decision.Reason)).WithService(s.service))
+			f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(decision.Reason),
+				fleet.Figure{Name: "attempt", Value: float64(number)},
+				fleet.Figure{Name: "budget", Value: f.retrier.Left(s.service)},
+			).WithService(s.service))
 		}
 		return false
 	}
