--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,13 +49,16 @@
 	answerBound    int64
 	timeout        time.Duration
 	writeTimeout   time.Duration
-	maxGlances     int
-	repeatErrors   bool
-	avoider        *avoider.Avoider
-	drainer        *drainer.Drainer
-	tickets        *tickets
-	peers          *peers
-	routes         atomic.Pointer[matcher.Matcher]
+	// ending is done once requests in flight are to be given up.
+	ending       context.Context
+	giveUp       context.CancelFunc
+	maxGlances   int
+	repeatErrors bool
+	avoider      *avoider.Avoider
+	drainer      *drainer.Drainer
+	tickets      *tickets
+	peers        *peers
+	routes       atomic.Pointer[matcher.Matcher]
 }
 
 // New returns the forwarder of a node.
@@ -79,6 +82,7 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.ending, f.giveUp = context.WithCancel(context.Background())
 	f.complete()
 	return f
 }
@@ -115,6 +119,10 @@
 // Drain refuses all new requests; those in flight go on.
 func (f *Forwarder) Drain() { f.drainer.Close() }
 
+// GiveUp ends the requests in flight as if their time were up, so that their callers get
+// an answer before the node ends.
+func (f *Forwarder) GiveUp() { f.giveUp() }
+
 // Shutdown drains and waits until nothing is in flight.
 func (f *Forwarder) Shutdown(ctx context.Context) error {
 	f.Drain()
@@ -147,6 +155,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), s.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(f.ending, func() { end(context.DeadlineExceeded) })()
 	if refusal := f.accept(w, s); refusal != nil {
 		f.refuse(w, s, refusal)
 		return
