Keep an error answer whole when nobody gives a better one

Cause: when an idempotent request had failed at the only backend server left, its error answer was closed before it was passed on, and the caller's connection broke. Ruled out: nothing; the same answer was both the last and the kept one. Before: forwarder.TestErrorIsReplacedByABetterAnswer fails with an unexpected end. Conclusion: mended.

--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -133,10 +133,10 @@
 
 // better returns a result in place of the kept one.
 func (t *search) better(r *result) *result {
-	if t.failed != nil {
+	if t.failed != nil && t.failed != r {
 		t.failed.close()
-		t.failed = nil
 	}
+	t.failed = nil
 	return r
 }
 
