--- a/forwarder/choice_test.go
+++ b/forwarder/choice_test.go
@@ -16,6 +16,7 @@
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/retrier"
 )
 
 // get sends a lookup and returns the status and the body.
@@ -216,3 +217,37 @@
 		Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Idempotent: true, Kind: "read", MaxTimeout: 2 * time.Second,
 	})
 }
+
+// TestTwoOwnersWithoutTimeEndARequest has three owners whose backend servers are slower
+// than the time that a request has.
+func TestTwoOwnersWithoutTimeEndARequest(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(retrier.New(retrier.WithAttempts(8), retrier.WithBudget(1, 100))))
+	for _, name := range []string{"a", "b", "c"} {
+		r.addOwner(name, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(w, name)
+		}))
+	}
+	backends := r.backends
+	for i := range backends { // each owner learns its usual time
+		r.backends = backends[i : i+1]
+		status, _ := r.get(t, "/1")
+		is.Equal(status, http.StatusOK)
+	}
+	r.backends = backends
+	request, err := http.NewRequest(http.MethodGet, r.caller.URL+"/1", nil)
+	is.NoErr(err)
+	request.Header.Set(fleet.HeaderTimeout, "100")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "no")
+	refusals := 0
+	for _, event := range r.events {
+		if event.Kind == fleet.EventRetry {
+			refusals++
+		}
+	}
+	is.Equal(refusals, 1) // one retry: two owners were asked
+}
