--- a/retrier/allowance.go
+++ b/retrier/allowance.go
@@ -8,12 +8,11 @@
 
 // Allowance is one node's part of a retry budget that a whole fleet must keep.
 type Allowance struct {
-	// PerRequest is the number of retries that each request earns its service.
+	// PerRequest is the number of retries for each request of the last window.
 	PerRequest float64
-	// PerSecond is the number of retries that each service earns with time.
-	PerSecond float64
-	// Burst is the number of retries that a service may save up.
-	Burst float64
+	// Slack is the number of retries in a window beyond that.
+	Slack  float64
+	Window time.Duration
 	// Unreached is what a retry costs whose attempt before never arrived at a backend server.
 	Unreached float64
 	// Reached is what a retry costs whose attempt before arrived but did not run.
@@ -22,8 +21,6 @@
 	// Nested: its nested calls may be made again as well.
 	Ran    float64
 	Nested time.Duration
-	// Start is the number of retries at the start of the node.
-	Start float64
 }
 
 // cost returns the price of a retry after a failed attempt.
--- /dev/null
+++ b/retrier/bucket.go
@@ -0,0 +1,16 @@
+package retrier
+
+import "time"
+
+// bucket is an account that each request fills by a ratio, up to a burst.
+type bucket struct {
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+func (b *bucket) request(time.Time) { b.tokens = min(b.burst, b.tokens+b.ratio) }
+
+func (b *bucket) left(time.Time) float64 { return b.tokens }
+
+func (b *bucket) spend(_ time.Time, cost float64) { b.tokens -= cost }
--- a/retrier/option.go
+++ b/retrier/option.go
@@ -24,10 +24,10 @@
 
 // WithBudget sets the share of retries earned by each request and the number that may be saved up.
 func WithBudget(ratio, burst float64) Option {
-	return func(r *Retrier) { r.allowance.PerRequest, r.allowance.Burst, r.allowance.Start = ratio, burst, burst }
+	return func(r *Retrier) { r.ratio, r.burst = ratio, burst }
 }
 
-// WithAllowance replaces the budget by what allowance returns at each request.
+// WithAllowance replaces the budget by this node's part of the fleet's, as it is at present.
 func WithAllowance(allowance func() Allowance) Option {
 	return func(r *Retrier) { r.shared = allowance }
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -13,27 +13,29 @@
 
 // Retrier holds a retry budget for each service. It is safe for concurrent use.
 type Retrier struct {
-	allowance Allowance
-	// shared returns the allowance at present, where it changes with the fleet.
+	ratio float64
+	burst float64
+	// shared returns the node's part of the fleet's budget, where there is one.
 	shared   func() Allowance
 	attempts int
 	base     time.Duration
 	random   func() float64
 	clock    clockwork.Clock
 
-	mu      sync.Mutex
-	budgets map[fleet.ServiceName]*budget
+	mu       sync.Mutex
+	accounts map[fleet.ServiceName]account
 }
 
 // New returns a retrier with full budgets.
 func New(options ...Option) *Retrier {
 	r := &Retrier{
-		allowance: Allowance{PerRequest: DefaultRatio, Burst: DefaultBurst, Start: DefaultBurst, Unreached: 1, Reached: 1, Ran: 1},
-		attempts:  MaxAttempts,
-		base:      DefaultBase,
-		random:    rand.Float64,
-		clock:     clockwork.NewRealClock(),
-		budgets:   make(map[fleet.ServiceName]*budget),
+		ratio:    DefaultRatio,
+		burst:    DefaultBurst,
+		attempts: MaxAttempts,
+		base:     DefaultBase,
+		random:   rand.Float64,
+		clock:    clockwork.NewRealClock(),
+		accounts: make(map[fleet.ServiceName]account),
 	}
 	for _, option := range options {
 		option(r)
@@ -43,18 +45,16 @@
 
 // Begin counts a new submission, which earns its service a share of a retry.
 func (r *Retrier) Begin(service fleet.ServiceName) {
-	allowance := r.current()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service, allowance).add(allowance.PerRequest, allowance.Burst)
+	r.account(service).request(r.clock.Now())
 }
 
 // Left returns the retries that a service may make at present.
 func (r *Retrier) Left(service fleet.ServiceName) float64 {
-	allowance := r.current()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service, allowance).tokens
+	return r.account(service).left(r.clock.Now())
 }
 
 // Decide says whether the submission is tried again, and spends the budget if so.
@@ -91,33 +91,31 @@
 }
 
 func (r *Retrier) spend(a Attempt) bool {
-	allowance := r.current()
-	cost := allowance.cost(a)
+	cost := 1.0
+	if r.shared != nil {
+		cost = r.shared().cost(a)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	left := r.budget(a.Service, allowance)
-	if left.tokens < cost {
+	now := r.clock.Now()
+	left := r.account(a.Service)
+	if left.left(now) < cost {
 		return false
 	}
-	left.tokens -= cost
+	left.spend(now, cost)
 	return true
 }
 
-func (r *Retrier) current() Allowance {
-	if r.shared == nil {
-		return r.allowance
+func (r *Retrier) account(service fleet.ServiceName) account {
+	known, found := r.accounts[service]
+	if found {
+		return known
 	}
-	return r.shared()
-}
-
-// budget returns what is left for a service, refilled up to now.
-func (r *Retrier) budget(service fleet.ServiceName, allowance Allowance) *budget {
-	now := r.clock.Now()
-	left, found := r.budgets[service]
-	if !found {
-		left = &budget{refilled: now, tokens: allowance.Start}
-		r.budgets[service] = left
+	if r.shared != nil {
+		known = &window{allowance: r.shared}
+	} else {
+		known = &bucket{ratio: r.ratio, burst: r.burst, tokens: r.burst}
 	}
-	left.refill(now, allowance.PerSecond, allowance.Burst)
-	return left
+	r.accounts[service] = known
+	return known
 }
--- /dev/null
+++ b/retrier/window.go
@@ -0,0 +1,53 @@
+package retrier
+
+import "time"
+
+// windowSlots is the number of parts that a window is counted in.
+const windowSlots = 10
+
+// window is an account that allows, at any moment, what the requests of the last window
+// and a fixed slack permit, less what was spent in it. The windows of many nodes add up
+// to that of the whole fleet.
+type window struct {
+	allowance func() Allowance
+	slots     [windowSlots]slot
+}
+
+// slot is one part of a window.
+type slot struct {
+	// number counts the parts since the zero time; a slot with another one is empty.
+	number   int64
+	requests float64
+	spent    float64
+}
+
+func (w *window) request(now time.Time) { w.slot(now).requests++ }
+
+func (w *window) spend(now time.Time, cost float64) { w.slot(now).spent += cost }
+
+func (w *window) left(now time.Time) float64 {
+	allowance := w.allowance()
+	newest := w.number(now, allowance)
+	var requests, spent float64
+	for _, s := range w.slots {
+		if s.number > newest-windowSlots && s.number <= newest {
+			requests += s.requests
+			spent += s.spent
+		}
+	}
+	return allowance.PerRequest*requests + allowance.Slack - spent
+}
+
+// slot returns the part of the window at a time, emptied if it is a new one.
+func (w *window) slot(now time.Time) *slot {
+	number := w.number(now, w.allowance())
+	s := &w.slots[number%windowSlots]
+	if s.number != number {
+		*s = slot{number: number}
+	}
+	return s
+}
+
+func (w *window) number(now time.Time, allowance Allowance) int64 {
+	return now.UnixNano() / int64(max(allowance.Window/windowSlots, 1))
+}
