Find three causes from the logs of real processes; gauges

Cause: that the logs suffice was only shown by hand, and metrics lacked what a node is at the moment. The store's counters were in a registry of their own and not written out. Ruled out: nothing. Before: starter.TestMetricsCountOutcomes fails for store.newest.ok. After: one registry; revision, live nodes, requests in flight, slots in use, waiting, bytes of bodies; a line when a node begins to stop. TestCausesAreFoundFromLogsAlone runs the commands of docs/OPERATIONS.md on the log files of two processes: shed, lost and slow requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,8 @@
 	clock  clockwork.Clock
 	logger *log.Logger
 	client *http.Client
+	// registry holds the metrics.
+	registry metrics.Registry
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
 
@@ -105,6 +107,7 @@
 		clock:      clockwork.NewRealClock(),
 		logger:     log.New(io.Discard),
 		client:     newClient(),
+		registry:   metrics.NewRegistry(),
 		wrapCaller: func(callers http.Handler) http.Handler { return callers },
 	}
 	for _, option := range options {
@@ -119,7 +122,7 @@
 		Region:        fleet.Region(set.Region),
 		State:         fleet.MemberAlive,
 	}
-	d.journal = recorder.New(d.self.ID, recorder.WithClock(d.clock), recorder.WithLogger(d.logger))
+	d.journal = recorder.New(d.self.ID, recorder.WithClock(d.clock), recorder.WithLogger(d.logger), recorder.WithRegistry(d.registry))
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildHealth()
@@ -295,9 +298,6 @@
 // Registrar returns the part that backend servers of this VM announce themselves to.
 func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
 
-// Registry returns the metrics.
-func (d *Daemon) Registry() metrics.Registry { return d.journal.Registry() }
-
 // logHost returns the IP and port of the log service's checked address.
 func logHost(address string) string {
 	parsed, err := url.Parse(address)
@@ -309,6 +309,9 @@
 
 // Run serves until ctx is done, then finishes the requests in flight.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.registerGauges(); err != nil {
+		return err
+	}
 	servers, err := d.listen()
 	if err != nil {
 		return err
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/adopter"
 	"cowsliptally.example/cowsliptally/dispatcher"
@@ -25,6 +26,11 @@
 	return func(d *Daemon) { d.logger = logger }
 }
 
+// WithRegistry sets the registry that holds the metrics.
+func WithRegistry(registry metrics.Registry) Option {
+	return func(d *Daemon) { d.registry = registry }
+}
+
 // WithSource takes the configuration from a source outside the fleet. The node then
 // writes nothing to a log service: operators' proposals and agreed ejections are off,
 // and each node trusts its own verdicts and those of owners.
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.Shutdown)
 	defer cancel()
 	d.leaving.Store(true)
+	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "within", d.set.Shutdown)
 	defer d.giveUpAfter(d.set.Shutdown - answerReserve)()
 	d.registrar.DrainAll()
 	d.dispatcher.Drain()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -106,12 +106,17 @@
 
 // InFlight returns the requests that run on a backend server.
 func (d *Dispatcher) InFlight(id fleet.BackendID) int {
+	running, _ := d.Load(id)
+	return running
+}
+
+// Load returns the requests that run on a backend server, and those that wait for it.
+func (d *Dispatcher) Load(id fleet.BackendID) (running, waiting int) {
 	g := d.known(id)
 	if g == nil {
-		return 0
+		return 0, 0
 	}
-	running, _ := g.load()
-	return running
+	return g.load()
 }
 
 // Drain refuses all new attempts; those in slots go on.
