--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/guard"
+	"cowsliptally.example/cowsliptally/poisoner"
+	"cowsliptally.example/cowsliptally/pooler"
+	"cowsliptally.example/cowsliptally/retrier"
+	"cowsliptally.example/cowsliptally/settings"
+	"cowsliptally.example/cowsliptally/spreader"
+)
+
+// maxAttempts bounds the attempts of one request where an allowance bounds those
+// that reach backend servers; the others cost a message each.
+const maxAttempts = 8
+
+func (d *Daemon) buildRequests() {
+	d.guard = guard.New(d.self.ID, d.clock)
+	d.poisoner = poisoner.New(d.clock)
+	d.memory = accountant.New(d.set.Memory)
+	d.spreader = spreader.New(d.self.ID, d.roster, d.client, spreader.WithClock(d.clock))
+	d.forwarder = forwarder.New(d.self.ID, d.configurations, d.roster, d.balancer, d.forwarderOptions()...)
+	d.dispatcher = dispatcher.New(d.self.ID, d.registrar, d.dispatcherOptions()...)
+}
+
+func (d *Daemon) forwarderOptions() []forwarder.Option {
+	options := []forwarder.Option{
+		forwarder.WithAnswerBound(d.set.MaxAnswer),
+		forwarder.WithBodyBound(d.set.MaxBody),
+		forwarder.WithClock(d.clock),
+		forwarder.WithGlances(d.set.Glances),
+		forwarder.WithGuard(d.guard),
+		forwarder.WithMemory(d.memory),
+		forwarder.WithPooler(d.newPooler(forwarder.DefaultProgress, d.set.PeerIdle)),
+		forwarder.WithPoisoner(d.poisoner),
+		forwarder.WithRecorder(d.journal),
+		forwarder.WithTimeout(d.set.Timeout),
+	}
+	if !d.ownerJudges() {
+		options = append(options, forwarder.WithObserver(observer{d.judge}))
+	}
+	if d.set.RepeatErrors {
+		options = append(options, forwarder.WithRepeatErrors())
+	}
+	if d.allowance != nil {
+		options = append(options, forwarder.WithRetrier(retrier.New(
+			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.liveNodes()) }),
+			retrier.WithAttempts(maxAttempts),
+			retrier.WithClock(d.clock))))
+	}
+	return options
+}
+
+func (d *Daemon) dispatcherOptions() []dispatcher.Option {
+	options := []dispatcher.Option{
+		dispatcher.WithAnswerBound(d.set.MaxAnswer),
+		dispatcher.WithBodyBound(d.set.MaxBody),
+		dispatcher.WithClock(d.clock),
+		dispatcher.WithConfigurations(d.configurations),
+		dispatcher.WithGuard(d.guard),
+		dispatcher.WithMembers(d.roster),
+		dispatcher.WithMemory(d.memory),
+		dispatcher.WithPooler(d.newPooler(dispatcher.DefaultProgress, d.set.BackendIdle)),
+		dispatcher.WithPoisoner(d.poisoner),
+		dispatcher.WithRecorder(d.journal),
+		dispatcher.WithSuspects(d.spreader),
+	}
+	if d.ownerJudges() {
+		options = append(options, dispatcher.WithEstimates())
+	} else {
+		options = append(options, dispatcher.WithObserver(observer{d.judge}))
+	}
+	if d.dialect != nil {
+		options = append(options, dispatcher.WithDialect(d.dialect))
+	}
+	if d.set.Undelimited {
+		options = append(options, dispatcher.WithUndelimited())
+	}
+	return options
+}
+
+func (d *Daemon) newPooler(progress, idle time.Duration) *pooler.Pooler {
+	return pooler.New(
+		pooler.WithClock(d.clock),
+		pooler.WithDialTimeout(d.set.DialTimeout),
+		pooler.WithIdleTimeout(idle),
+		pooler.WithProgress(progress))
+}
+
+// ownerJudges reports whether owners alone judge their backend servers.
+func (d *Daemon) ownerJudges() bool { return d.set.Verdicts == settings.VerdictsOwner }
+
+// liveNodes returns the number of nodes that serve, this one included.
+func (d *Daemon) liveNodes() int {
+	count := 0
+	for _, member := range d.roster.Members() {
+		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
+			count++
+		}
+	}
+	return max(1, count)
+}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -20,23 +20,6 @@
 	maxDoubted = 6
 )
 
-// search is the state of the attempts of one submission.
-type search struct {
-	candidates []fleet.Backend
-	// tried holds backend servers that are not chosen again.
-	tried []fleet.BackendID
-	// full holds those that had no free slot; one of them is chosen to wait for.
-	full []fleet.BackendID
-	// doubted holds those that failed of late; they are used when no other is left.
-	doubted []fleet.BackendID
-	// ran is the number of attempts that ran or may have run.
-	ran int
-	// late is the number of owners that said that the time left is too short.
-	late int
-	// failed is an answer that reports an error, kept in case no better one comes.
-	failed *result
-}
-
 // try makes attempts until one is answered or no other is allowed.
 func (f *Forwarder) try(ctx context.Context, s *submission) *result {
 	f.retrier.Begin(s.service)
@@ -105,50 +88,6 @@
 	return f.repeatErrors && s.idempotent && r.exchange.Response.StatusCode >= http.StatusInternalServerError
 }
 
-// note keeps what a failed attempt means for the next ones.
-func (t *search) note(backend fleet.Backend, last *result) {
-	switch {
-	case last.glanced:
-		t.full = append(t.full, backend.ID)
-	case last.outcome.Reason == fleet.ReasonDoubt:
-		t.doubted = append(t.doubted, backend.ID)
-	case !last.blameless || last.outcome.Executed != fleet.ExecutedNo:
-		t.tried = append(t.tried, backend.ID)
-	}
-	if last.outcome.Executed != fleet.ExecutedNo {
-		t.ran++
-	} else if last.outcome.Reason == fleet.ReasonDeadline {
-		t.late++
-	}
-}
-
-// keep holds an answer that reports an error.
-func (t *search) keep(r *result) {
-	if !r.answered() {
-		return
-	}
-	t.better(nil)
-	t.failed = r
-}
-
-// better returns a result in place of the kept one.
-func (t *search) better(r *result) *result {
-	if t.failed != nil && t.failed != r {
-		t.failed.close()
-	}
-	t.failed = nil
-	return r
-}
-
-// best returns the kept answer, or the last result where there is none.
-func (t *search) best(last *result) *result {
-	if t.failed == nil || last.answered() {
-		return t.better(last)
-	}
-	last.close()
-	return t.failed
-}
-
 // note keeps what a failed attempt means for the whole submission. A request that lost
 // two owners may have killed their VMs, which cannot report it, and is not sent to a third.
 func (s *submission) note(last *result) {
@@ -171,9 +110,6 @@
 	return refused(fleet.ReasonNoBackend, "service "+string(s.service)+" has no backend server that takes work")
 }
 
-// looked returns the attempts that only looked.
-func (t *search) looked() int { return len(t.full) + len(t.doubted) }
-
 // again asks for a retry and waits until it is due. Looking elsewhere is no retry.
 func (f *Forwarder) again(ctx context.Context, s *submission, number, ran int, last *result) bool {
 	if last.glanced || last.outcome.Reason == fleet.ReasonDoubt {
