--- a/retrier/account.go
+++ b/retrier/account.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// account is the retry budget of one service.
+// account is the retry budget of one service. Times are steady ones since the retrier's start.
 type account interface {
 	// request counts a new submission.
-	request(now time.Time)
+	request(now time.Duration)
 	// left returns what may be spent.
-	left(now time.Time) float64
+	left(now time.Duration) float64
 	// spend takes off the price of a retry, which must be left.
-	spend(now time.Time, cost float64)
+	spend(now time.Duration, cost float64)
 }
--- a/retrier/bucket.go
+++ b/retrier/bucket.go
@@ -9,8 +9,8 @@
 	tokens float64
 }
 
-func (b *bucket) request(time.Time) { b.tokens = min(b.burst, b.tokens+b.ratio) }
+func (b *bucket) request(time.Duration) { b.tokens = min(b.burst, b.tokens+b.ratio) }
 
-func (b *bucket) left(time.Time) float64 { return b.tokens }
+func (b *bucket) left(time.Duration) float64 { return b.tokens }
 
-func (b *bucket) spend(_ time.Time, cost float64) { b.tokens -= cost }
+func (b *bucket) spend(_ time.Duration, cost float64) { b.tokens -= cost }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -21,6 +21,7 @@
 	base     time.Duration
 	random   func() float64
 	clock    clockwork.Clock
+	start    time.Time
 
 	mu       sync.Mutex
 	accounts map[fleet.ServiceName]account
@@ -40,21 +41,25 @@
 	for _, option := range options {
 		option(r)
 	}
+	r.start = r.clock.Now()
 	return r
 }
 
+// now returns the steady time since the start; the time of day may jump.
+func (r *Retrier) now() time.Duration { return r.clock.Since(r.start) }
+
 // Begin counts a new submission, which earns its service a share of a retry.
 func (r *Retrier) Begin(service fleet.ServiceName) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.account(service).request(r.clock.Now())
+	r.account(service).request(r.now())
 }
 
 // Left returns the retries that a service may make at present.
 func (r *Retrier) Left(service fleet.ServiceName) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.account(service).left(r.clock.Now())
+	return r.account(service).left(r.now())
 }
 
 // Decide says whether the submission is tried again, and spends the budget if so.
@@ -97,7 +102,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
+	now := r.now()
 	left := r.account(a.Service)
 	if left.left(now) < cost {
 		return false
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -15,17 +15,17 @@
 
 // slot is one part of a window.
 type slot struct {
-	// number counts the parts since the zero time; a slot with another one is empty.
+	// number counts the parts from 1; a slot with another one is empty.
 	number   int64
 	requests float64
 	spent    float64
 }
 
-func (w *window) request(now time.Time) { w.slot(now).requests++ }
+func (w *window) request(now time.Duration) { w.slot(now).requests++ }
 
-func (w *window) spend(now time.Time, cost float64) { w.slot(now).spent += cost }
+func (w *window) spend(now time.Duration, cost float64) { w.slot(now).spent += cost }
 
-func (w *window) left(now time.Time) float64 {
+func (w *window) left(now time.Duration) float64 {
 	allowance := w.allowance()
 	newest := w.number(now, allowance)
 	var requests, spent float64
@@ -39,7 +39,7 @@
 }
 
 // slot returns the part of the window at a time, emptied if it is a new one.
-func (w *window) slot(now time.Time) *slot {
+func (w *window) slot(now time.Duration) *slot {
 	number := w.number(now, w.allowance())
 	s := &w.slots[number%windowSlots]
 	if s.number != number {
@@ -48,6 +48,6 @@
 	return s
 }
 
-func (w *window) number(now time.Time, allowance Allowance) int64 {
-	return now.UnixNano() / int64(max(allowance.Window/windowSlots, 1))
+func (w *window) number(now time.Duration, allowance Allowance) int64 {
+	return 1 + int64(now/max(allowance.Window/windowSlots, 1))
 }
