Tell a dying backend server from a broken connection

A process that exits closes its connections before its port; the owner's probe came in between and found the port open, so the crash counted as a broken connection and the request was repeated at the next backend server. Before: forwarder.TestDyingBackendServerCountsAsCrashed fails, the port closing 15 ms later. After: the port is tried three times, 30 ms apart; it passes, and so do 6 of 6 runs of TestCrashRequest. Conclusion: mended; a broken answer is told up to 60 ms later.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -239,8 +239,7 @@
 	d := a.dispatcher
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := d.pooler.Probe(ctx, a.backend.Address)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !a.refuses(ctx) {
 		return false
 	}
 	d.locals.Crashed(a.backend.ID)
@@ -248,6 +247,25 @@
 	return true
 }
 
+// refuses reports whether the backend server's port refuses connections. A process that
+// dies closes its connections before its port, so a port that still takes one is tried
+// again a moment later.
+func (a *attempt) refuses(ctx context.Context) bool {
+	for try := range deathProbes {
+		if try > 0 {
+			select {
+			case <-a.dispatcher.clock.After(deathSpacing):
+			case <-ctx.Done():
+				return false
+			}
+		}
+		if errors.Is(a.dispatcher.pooler.Probe(ctx, a.backend.Address), syscall.ECONNREFUSED) {
+			return true
+		}
+	}
+	return false
+}
+
 // observe gives the result to the judges of health.
 func (a *attempt) observe(r *result, took time.Duration) {
 	a.dispatcher.observer.Observe(fleet.Sample{
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -29,6 +29,11 @@
 	watchSpacing = time.Second
 	// probeTimeout bounds the fresh connection that tells a crash from a lost connection.
 	probeTimeout = 250 * time.Millisecond
+	// deathProbes and deathSpacing are the number of tries that tell a crash from a lost
+	// connection, and the time between two: an exiting process closes its port within
+	// some ten milliseconds even on a busy VM.
+	deathProbes  = 3
+	deathSpacing = 30 * time.Millisecond
 	// reportTimeout bounds the wait for peers to hear of a crash before the caller does.
 	reportTimeout = 250 * time.Millisecond
 )
