Ask the prober how many nodes live, and a member whether it does

Cause: read as a whole, the change copied and counted the roster's members twice or more for each request to size the retry budget, which grows with the fleet, though the prober keeps that number; and it wrote the test for a live node a fifth and sixth time. Ruled out: a cache of the daemon's own, which would be a second one. Conclusion: fleet.Member.Lives and prober.Nodes serve all places.

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -117,7 +117,7 @@
 func (a *Adopter) askSome(ctx context.Context) {
 	var others []string
 	for _, m := range a.members() {
-		if m.ID != a.node && (m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect) {
+		if m.ID != a.node && m.Lives() {
 			others = append(others, m.PeerAddress)
 		}
 	}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -12,7 +12,7 @@
 func (d *Daemon) registerGauges() error {
 	gauges := map[string]func() int64{
 		"node.revision":  func() int64 { return int64(d.configurations.Configuration().Revision()) },
-		"node.live":      func() int64 { return int64(d.liveNodes()) },
+		"node.live":      func() int64 { return int64(d.prober.Nodes()) },
 		"node.inflight":  func() int64 { return int64(d.forwarder.InFlight()) },
 		"node.bodybytes": d.memory.Reserved,
 		"node.running":   func() int64 { running, _ := d.slots(); return running },
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -5,7 +5,6 @@
 
 	"cowsliptally.example/cowsliptally/accountant"
 	"cowsliptally.example/cowsliptally/dispatcher"
-	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/guard"
 	"cowsliptally.example/cowsliptally/poisoner"
@@ -49,7 +48,7 @@
 	}
 	if d.allowance != nil {
 		options = append(options, forwarder.WithRetrier(retrier.New(
-			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.liveNodes()) }),
+			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.prober.Nodes()) }),
 			retrier.WithAttempts(maxAttempts),
 			retrier.WithClock(d.clock))))
 	}
@@ -94,14 +93,3 @@
 
 // ownerJudges reports whether owners alone judge their backend servers.
 func (d *Daemon) ownerJudges() bool { return d.set.Verdicts == settings.VerdictsOwner }
-
-// liveNodes returns the number of nodes that serve, this one included.
-func (d *Daemon) liveNodes() int {
-	count := 0
-	for _, member := range d.roster.Members() {
-		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
-			count++
-		}
-	}
-	return max(1, count)
-}
--- a/dispatcher/watch.go
+++ b/dispatcher/watch.go
@@ -24,7 +24,7 @@
 func (d *Dispatcher) watch() {
 	var nodes []fleet.NodeID
 	for _, member := range d.members.Members() {
-		if member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect {
+		if member.Lives() {
 			nodes = append(nodes, member.ID)
 		}
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -42,6 +42,9 @@
 	State         MemberState
 }
 
+// Lives reports whether the node may answer: it is alive, or suspect and may still refute that.
+func (m Member) Lives() bool { return m.State == MemberAlive || m.State == MemberSuspect }
+
 // WithState returns a copy in another state.
 func (m Member) WithState(state MemberState) Member {
 	m.State = state
--- a/prober/accuse.go
+++ b/prober/accuse.go
@@ -12,7 +12,7 @@
 // suspect marks a node as suspect, which it may refute, and sets the time of the
 // last check.
 func (p *Prober) suspect(m fleet.Member) {
-	nodes := p.nodes()
+	nodes := p.Nodes()
 	p.mu.Lock()
 	if _, accused := p.suspicions[m.ID]; accused {
 		p.mu.Unlock()
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -22,7 +22,7 @@
 // gossip returns what a probe or its answer carries: the newest changes, those
 // that stop work first, but for what the receiver just told.
 func (p *Prober) gossip(told *cowsliptallyv1.Gossip) *cowsliptallyv1.Gossip {
-	nodes, known := p.nodes(), p.known(told)
+	nodes, known := p.Nodes(), p.known(told)
 	take := func(queue *disseminator.Disseminator, budget int, size sizer) []disseminator.Key {
 		return queue.Take(budget, nodes, func(key disseminator.Key) int {
 			if known[key] {
--- a/prober/peers.go
+++ b/prober/peers.go
@@ -26,8 +26,8 @@
 	return live
 }
 
-// nodes returns the size of the fleet as this node knows it.
-func (p *Prober) nodes() int {
+// Nodes returns the number of nodes that live as this node knows them, itself included.
+func (p *Prober) Nodes() int {
 	return len(p.peers()) + 1
 }
 
@@ -73,8 +73,7 @@
 
 // reachable reports whether a node may answer.
 func reachable(m fleet.Member) bool {
-	alive := m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect
-	return alive && m.PeerAddress != ""
+	return m.Lives() && m.PeerAddress != ""
 }
 
 func anyone(fleet.Member) bool { return true }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -151,7 +151,7 @@
 // lives reports whether a node may get requests; a suspect one may.
 func (r *Roster) lives(id fleet.NodeID) bool {
 	m, found := r.members[id]
-	return found && (m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect)
+	return found && m.Lives()
 }
 
 func (r *Roster) backend(i uint32) fleet.Backend {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -76,7 +76,7 @@
 func (s *Spreader) spread(ctx context.Context, message *cowsliptallyv1.SuspectRequest) {
 	var all []news
 	for _, member := range s.members.Members() {
-		if member.ID != s.node && (member.State == fleet.MemberAlive || member.State == fleet.MemberSuspect) {
+		if member.ID != s.node && member.Lives() {
 			all = append(all, news{member: member, message: message, since: s.clock.Now()})
 		}
 	}
