Show connections, health, ages, memory and what is left of the budget as metrics

Cause: the metrics address told requests and calls to the store, but not connections opened and reused, backend servers that are doubted, nodes gone round, the age of configuration and roster, memory, retries left and log lines dropped, so that several causes could be found from log lines only. Ruled out: counting in the log lines alone (they are bounded by a rate).

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -28,6 +28,8 @@
 	document      Document
 	configuration fleet.Configuration
 	failing       bool
+	// confirmed is when the source answered last.
+	confirmed time.Time
 }
 
 // New returns an adopter without a configuration; Run follows the source.
@@ -71,6 +73,13 @@
 	return !a.failing
 }
 
+// Confirmed returns when the source answered last; the zero time before it did.
+func (a *Adopter) Confirmed() time.Time {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.confirmed
+}
+
 // Run follows the source, and other nodes while it fails, until ctx is done.
 func (a *Adopter) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
@@ -172,6 +181,9 @@
 	a.mu.Lock()
 	changed := a.failing != (err != nil)
 	a.failing = err != nil
+	if err == nil {
+		a.confirmed = a.clock.Now()
+	}
 	a.mu.Unlock()
 	switch {
 	case !changed:
--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -77,12 +77,17 @@
 	return failed
 }
 
-// Avoided reports whether a node is to be avoided at present.
-func (a *Avoider) Avoided(node fleet.NodeID) bool {
+// Count returns the number of nodes that are to be avoided at present.
+func (a *Avoider) Count() (nodes int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h, found := a.holds[node]
-	return found && a.clock.Now().Before(h.until)
+	now := a.clock.Now()
+	for _, h := range a.holds {
+		if now.Before(h.until) {
+			nodes++
+		}
+	}
+	return nodes
 }
 
 // Doubted tells that the owner of a backend server doubts it.
--- a/avoider/avoider_test.go
+++ b/avoider/avoider_test.go
@@ -18,18 +18,18 @@
 	for _, length := range []time.Duration{500, 1000, 2000, 4000, 4000} {
 		a.Failed("n1")
 		a.Failed("n1") // counts once
-		is.True(a.Avoided("n1"))
+		is.Equal(a.Count(), 1)
 		clock.Advance(length*time.Millisecond - 1)
-		is.True(a.Avoided("n1"))
+		is.Equal(a.Count(), 1)
 		clock.Advance(1)
-		is.True(!a.Avoided("n1"))
+		is.Equal(a.Count(), 0)
 	}
 	a.Failed("n1")
 	a.Reached("n1")
-	is.True(!a.Avoided("n1"))
+	is.Equal(a.Count(), 0)
 	a.Failed("n1")
 	clock.Advance(500 * time.Millisecond)
-	is.True(!a.Avoided("n1")) // an answer starts anew
+	is.Equal(a.Count(), 0) // an answer starts anew
 }
 
 func TestAmongNamesBackendServersOfAvoidedNodes(t *testing.T) {
@@ -58,5 +58,5 @@
 	clock.Advance(time.Minute)
 	a.Failed("n1")
 	clock.Advance(500 * time.Millisecond)
-	is.True(!a.Avoided("n1"))
+	is.Equal(a.Count(), 0)
 }
--- a/command/node.go
+++ b/command/node.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/daemon"
 	"cowsliptally.example/cowsliptally/settings"
@@ -28,8 +29,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	lines, stopLines := spooler.Start(os.Stdout, clockwork.NewRealClock())
-	err := daemon.New(n.Node, daemon.WithLogger(newLogger(lines, n.LogLevel))).Run(ctx)
+	registry := metrics.NewRegistry()
+	lines, stopLines := spooler.Start(os.Stdout, clockwork.NewRealClock(), registry)
+	err := daemon.New(n.Node,
+		daemon.WithLogger(newLogger(lines, n.LogLevel)),
+		daemon.WithRegistry(registry)).Run(ctx)
 	return trace.NewAggregate(err, stopLines())
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
@@ -50,6 +51,8 @@
 type configurations interface {
 	Configuration() fleet.Configuration
 	Ready() bool
+	// Confirmed returns when the origin of configurations answered last.
+	Confirmed() time.Time
 }
 
 // Daemon is one node.
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -2,21 +2,33 @@
 
 import (
 	"errors"
+	runtime "runtime/metrics"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/keeper"
 )
 
+// unknownAge is shown for the age of what never came.
+const unknownAge = -1
+
 // registerGauges adds what a node is at the moment to its metrics.
 func (d *Daemon) registerGauges() error {
 	gauges := map[string]func() int64{
-		"node.revision":  func() int64 { return int64(d.configurations.Configuration().Revision()) },
-		"node.live":      func() int64 { return int64(d.prober.Nodes()) },
-		"node.inflight":  func() int64 { return int64(d.forwarder.InFlight()) },
-		"node.bodybytes": d.memory.Reserved,
-		"node.running":   func() int64 { running, _ := d.slots(); return running },
-		"node.waiting":   func() int64 { _, waiting := d.slots(); return waiting },
+		"node.revision":      func() int64 { return int64(d.configurations.Configuration().Revision()) },
+		"node.revisionagems": func() int64 { return d.age(d.configurations.Confirmed()) },
+		"node.live":          func() int64 { return int64(d.prober.Nodes()) },
+		"node.rosteragems":   func() int64 { return d.age(d.prober.Heard()) },
+		"node.inflight":      func() int64 { return int64(d.forwarder.InFlight()) },
+		"node.bodybytes":     d.memory.Reserved,
+		"node.memorybytes":   memory,
+		"node.running":       func() int64 { running, _ := d.slots(); return running },
+		"node.waiting":       func() int64 { _, waiting := d.slots(); return waiting },
+		"node.slots":         d.slotsOwned,
+		"node.doubted":       func() int64 { return int64(d.dispatcher.Doubted()) },
+		"node.avoided":       func() int64 { return int64(d.forwarder.Avoided()) },
+		"node.retriesleft":   func() int64 { return int64(d.forwarder.RetriesLeft()) },
 		"node.logreachable": func() int64 {
 			if d.logStatus() == keeper.StatusUp {
 				return 1
@@ -31,6 +43,24 @@
 	return errors.Join(errs...)
 }
 
+// age returns the milliseconds since a time, or unknownAge for the zero time.
+func (d *Daemon) age(since time.Time) int64 {
+	if since.IsZero() {
+		return unknownAge
+	}
+	return d.clock.Since(since).Milliseconds()
+}
+
+// memory returns the bytes that the process holds of the operating system's memory.
+func memory() int64 {
+	samples := []runtime.Sample{
+		{Name: "/memory/classes/total:bytes"},
+		{Name: "/memory/classes/heap/released:bytes"},
+	}
+	runtime.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
 // slots returns the requests that run on the backend servers of this VM, and those that wait.
 func (d *Daemon) slots() (running, waiting int64) {
 	for _, backend := range d.registrar.Local() {
@@ -40,3 +70,11 @@
 	}
 	return running, waiting
 }
+
+// slotsOwned returns the slots of the backend servers of this VM.
+func (d *Daemon) slotsOwned() (count int64) {
+	for _, backend := range d.registrar.Local() {
+		count += int64(backend.Slots)
+	}
+	return count
+}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -35,7 +35,7 @@
 		forwarder.WithGlances(d.set.Glances),
 		forwarder.WithGuard(d.guard),
 		forwarder.WithMemory(d.memory),
-		forwarder.WithPooler(d.newPooler(forwarder.DefaultProgress, d.set.PeerIdle)),
+		forwarder.WithPooler(d.newPooler("connections.peer", forwarder.DefaultProgress, d.set.PeerIdle)),
 		forwarder.WithPoisoner(d.poisoner),
 		forwarder.WithRecorder(d.journal),
 		forwarder.WithTimeout(d.set.Timeout),
@@ -64,7 +64,7 @@
 		dispatcher.WithGuard(d.guard),
 		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
-		dispatcher.WithPooler(d.newPooler(dispatcher.DefaultProgress, d.set.BackendIdle)),
+		dispatcher.WithPooler(d.newPooler("connections.backend", dispatcher.DefaultProgress, d.set.BackendIdle)),
 		dispatcher.WithPoisoner(d.poisoner),
 		dispatcher.WithRecorder(d.journal),
 		dispatcher.WithSuspects(d.spreader),
@@ -83,11 +83,13 @@
 	return options
 }
 
-func (d *Daemon) newPooler(progress, idle time.Duration) *pooler.Pooler {
+// newPooler returns a pooler whose connections are counted under a name.
+func (d *Daemon) newPooler(name string, progress, idle time.Duration) *pooler.Pooler {
 	return pooler.New(
 		pooler.WithClock(d.clock),
 		pooler.WithDialTimeout(d.set.DialTimeout),
 		pooler.WithIdleTimeout(idle),
+		pooler.WithMetrics(d.registry, name),
 		pooler.WithProgress(progress))
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -119,6 +119,18 @@
 	return g.load()
 }
 
+// Doubted returns the number of backend servers that are taken to fail at present.
+func (d *Dispatcher) Doubted() (count int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, g := range d.gates {
+		if g.failing() {
+			count++
+		}
+	}
+	return count
+}
+
 // Drain refuses all new attempts; those in slots go on.
 func (d *Dispatcher) Drain() {
 	d.drainer.Close()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -86,6 +86,13 @@
 	return g.estimator != nil && !c.insistent && !g.estimator.Admits(c.idempotent, g.clock.Now())
 }
 
+// failing reports whether the backend server is taken to fail at present.
+func (g *gate) failing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.estimator != nil && estimator.Doubts(g.estimator.Failing(g.clock.Now()))
+}
+
 // start tells the estimator that a request is sent.
 func (g *gate) start(id admitter.ID, kind fleet.RequestKind) {
 	g.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -116,6 +116,12 @@
 // InFlight returns the requests that are being served.
 func (f *Forwarder) InFlight() int { return f.drainer.InFlight() }
 
+// Avoided returns the number of nodes that requests go round at present.
+func (f *Forwarder) Avoided() int { return f.avoider.Count() }
+
+// RetriesLeft returns the retries that the tightest budget allows at present.
+func (f *Forwarder) RetriesLeft() float64 { return f.retrier.Tightest() }
+
 // Drain refuses all new requests; those in flight go on.
 func (f *Forwarder) Drain() { f.drainer.Close() }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -37,6 +37,8 @@
 	// changed is closed and replaced when the state changes.
 	changed chan struct{}
 	status  Status
+	// confirmed is when the log was read last.
+	confirmed time.Time
 	// known tells whether the state was ever compared with the log or with peers.
 	known bool
 	// current tells whether it was since the last pause.
@@ -99,6 +101,13 @@
 	return k.status
 }
 
+// Confirmed returns when the log was read last; the zero time before it was.
+func (k *Keeper) Confirmed() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmed
+}
+
 // Window returns what the log service kept when it was last read.
 func (k *Keeper) Window() Window {
 	k.mu.Lock()
--- a/keeper/position.go
+++ b/keeper/position.go
@@ -42,6 +42,7 @@
 		return
 	}
 	k.window = Window{Oldest: oldest, Next: next}
+	k.confirmed = k.clock.Now()
 	before := k.status
 	if k.recovery == nil {
 		k.status = StatusUp
--- a/pooler/option.go
+++ b/pooler/option.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -45,3 +46,12 @@
 func WithConnections(bound int) Option {
 	return func(p *Pooler) { p.connections = bound }
 }
+
+// WithMetrics counts the connections that are opened, and the exchanges that reuse one,
+// as NAME.opened and NAME.reused.
+func WithMetrics(registry metrics.Registry, name string) Option {
+	return func(p *Pooler) {
+		p.opened = metrics.GetOrRegisterCounter(name+".opened", registry)
+		p.reused = metrics.GetOrRegisterCounter(name+".reused", registry)
+	}
+}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/fault"
 )
@@ -35,6 +36,8 @@
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	connections int
+	opened      metrics.Counter
+	reused      metrics.Counter
 	// fresh makes a connection for each request.
 	fresh *http.Transport
 
@@ -49,6 +52,8 @@
 		dialTimeout: DefaultDialTimeout,
 		idleTimeout: DefaultIdleTimeout,
 		connections: DefaultConnections,
+		opened:      metrics.NilCounter{},
+		reused:      metrics.NilCounter{},
 	}
 	for _, option := range options {
 		option(p)
@@ -127,6 +132,9 @@
 			used = info.Conn.(*conn)
 			before = used.writes.Load()
 			exchange.Reused = info.Reused
+			if info.Reused {
+				p.reused.Inc(1)
+			}
 			w.start(used, info.Reused)
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
@@ -166,6 +174,7 @@
 			if err != nil {
 				return nil, err
 			}
+			p.opened.Inc(1)
 			return &conn{Conn: made}, nil
 		},
 		DisableCompression:     true,
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -158,6 +158,8 @@
 
 // hear takes in a whole exchange: its sender, the changes and how far it is.
 func (p *Prober) hear(from *cowsliptallyv1.Member, gossip *cowsliptallyv1.Gossip) {
+	now := p.clock.Now()
+	p.heard.Store(&now)
 	sender := translator.MemberFromMessage(from)
 	p.mergeMember(sender, true)
 	p.merge(gossip, true)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -40,6 +40,8 @@
 	// budget bounds the bytes of changes a second.
 	budget *rate.Limiter
 	joined atomic.Bool
+	// heard is when another node was heard of last.
+	heard atomic.Pointer[time.Time]
 	// probing bounds the probes that run at a time.
 	probing chan struct{}
 
--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -35,6 +35,14 @@
 	p.seeds = append(p.seeds, addresses...)
 }
 
+// Heard returns when another node was heard of last; the zero time before.
+func (p *Prober) Heard() time.Time {
+	if heard := p.heard.Load(); heard != nil {
+		return *heard
+	}
+	return time.Time{}
+}
+
 // Joined reports whether the node found the fleet, or is the first of it.
 func (p *Prober) Joined() bool { return p.joined.Load() }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -62,6 +62,19 @@
 	return r.account(service).left(r.now())
 }
 
+// Tightest returns the least that is left for any service that had requests; 0 when none had.
+func (r *Retrier) Tightest() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tightest, found := 0.0, false
+	for _, known := range r.accounts {
+		if left := known.left(r.now()); !found || left < tightest {
+			tightest, found = left, true
+		}
+	}
+	return tightest
+}
+
 // Decide says whether the submission is tried again, and spends the budget if so.
 func (r *Retrier) Decide(a Attempt) Decision {
 	refusal := Decision{Reason: a.Outcome.Reason}
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"cowsliptally.example/cowsliptally/ring"
@@ -33,21 +34,25 @@
 	lines   *ring.Ring[[]byte]
 	limiter *rate.Limiter
 	dropped atomic.Int64
+	// total counts the lines that were left out since the start.
+	total metrics.Counter
 }
 
-// New returns a spooler before an output; Run writes.
-func New(out io.Writer, clock clockwork.Clock) *Spooler {
+// New returns a spooler before an output; Run writes. It counts the lines that are left
+// out in the registry, as log.dropped.
+func New(out io.Writer, clock clockwork.Clock, registry metrics.Registry) *Spooler {
 	return &Spooler{
 		out:     out,
 		clock:   clock,
 		lines:   ring.New[[]byte](capacity),
 		limiter: rate.NewLimiter(linesPerSecond, burst),
+		total:   metrics.GetOrRegisterCounter("log.dropped", registry),
 	}
 }
 
 // Start returns a spooler that writes until stop is called, which writes what is left.
-func Start(out io.Writer, clock clockwork.Clock) (s *Spooler, stop func() error) {
-	s = New(out, clock)
+func Start(out io.Writer, clock clockwork.Clock, registry metrics.Registry) (s *Spooler, stop func() error) {
+	s = New(out, clock, registry)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
@@ -61,6 +66,7 @@
 func (s *Spooler) Write(line []byte) (int, error) {
 	if !s.limiter.AllowN(s.clock.Now(), 1) || !s.lines.Push(append([]byte(nil), line...)) {
 		s.dropped.Add(1)
+		s.total.Inc(1)
 	}
 	return len(line), nil
 }
--- a/spooler/spooler_test.go
+++ b/spooler/spooler_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/spooler"
 )
@@ -30,7 +31,8 @@
 func TestNeverWaitsForTheOutput(t *testing.T) {
 	is := is.New(t)
 	out := &output{open: make(chan struct{})}
-	s := spooler.New(out, clockwork.NewFakeClock())
+	registry := metrics.NewRegistry()
+	s := spooler.New(out, clockwork.NewFakeClock(), registry)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- s.Run(ctx) }()
@@ -45,6 +47,7 @@
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	is.Equal(lines[0], "msg=line number=0")
 	is.Equal(lines[len(lines)-1], fmt.Sprintf("level=warn msg=dropped lines=%d", 5000-(len(lines)-1)))
+	is.Equal(metrics.GetOrRegisterCounter("log.dropped", registry).Count(), int64(5000-(len(lines)-1)))
 	is.True(len(lines) <= 1001)
 }
 
@@ -54,7 +57,7 @@
 	clock := clockwork.NewFakeClock()
 	out := &output{open: make(chan struct{})}
 	close(out.open)
-	s := spooler.New(out, clock)
+	s := spooler.New(out, clock, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 10 {
