Count what was spent over a whole window, and the slack of a restarted node as spent

Cause: a window is counted in ten parts of which the newest has only begun, so that what was spent in the oldest part was forgotten up to a tenth of a window too soon; and a restarted node had its slack again at once. Both let more repeats into some window than the budget permits, covered by the share that is not handed out. Ruled out: charging other services for nested calls that a repeat makes again: an exhausted service would then keep another one from repeating at all. Before: retrier.TestBudgetHoldsInEveryWindow, stateful with rapid against a plain list, fails at once on the old window. After: 500 sequences pass. The share handed out is as it was.

--- a/retrier/allowance.go
+++ b/retrier/allowance.go
@@ -13,6 +13,9 @@
 	// Slack is the number of retries in a window beyond that.
 	Slack  float64
 	Window time.Duration
+	// Before is taken as spent when the node starts: an earlier process of it may have
+	// spent as much.
+	Before float64
 	// Unreached is what a retry costs whose attempt before never arrived at a backend server.
 	Unreached float64
 	// Reached is what a retry costs whose attempt before arrived but did not run.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -130,7 +130,7 @@
 		return known
 	}
 	if r.shared != nil {
-		known = &window{allowance: r.shared}
+		known = newWindow(r.shared)
 	} else {
 		known = &bucket{ratio: r.ratio, burst: r.burst, tokens: r.burst}
 	}
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -10,7 +10,9 @@
 // to that of the whole fleet.
 type window struct {
 	allowance func() Allowance
-	slots     [windowSlots]slot
+	// slots holds one part more than a window: the newest one has only begun, and what
+	// was spent in the oldest one still counts.
+	slots [windowSlots + 1]slot
 }
 
 // slot is one part of a window.
@@ -21,17 +23,27 @@
 	spent    float64
 }
 
+// newWindow returns a window in which what an earlier process may have spent counts as
+// spent at the start.
+func newWindow(allowance func() Allowance) *window {
+	w := &window{allowance: allowance}
+	w.slots[1] = slot{number: 1, spent: allowance().Before}
+	return w
+}
+
 func (w *window) request(now time.Duration) { w.slot(now).requests++ }
 
 func (w *window) spend(now time.Duration, cost float64) { w.slot(now).spent += cost }
 
 func (w *window) left(now time.Duration) float64 {
 	allowance := w.allowance()
-	newest := w.number(now, allowance)
+	oldest := w.number(now, allowance) - windowSlots
 	var requests, spent float64
 	for _, s := range w.slots {
-		if s.number > newest-windowSlots && s.number <= newest {
+		if s.number > oldest {
 			requests += s.requests
+		}
+		if s.number >= oldest {
 			spent += s.spent
 		}
 	}
@@ -41,7 +53,7 @@
 // slot returns the part of the window at a time, emptied if it is a new one.
 func (w *window) slot(now time.Duration) *slot {
 	number := w.number(now, w.allowance())
-	s := &w.slots[number%windowSlots]
+	s := &w.slots[number%int64(len(w.slots))]
 	if s.number != number {
 		*s = slot{number: number}
 	}
