--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"cowsliptally.example/cowsliptally/estimator"
 )
@@ -116,3 +117,57 @@
 	}
 	is.Equal(e.Failing(start), before)
 }
+
+// TestDoubtKeepsTrialsComing lets requests begin, end in any way, hang, and time pass in
+// any order. While the backend server is doubted there is at most one trial at a time,
+// and one is admitted at the latest a second after the last failure, so that no backend
+// server stays out; nothing that may not run twice is ever a trial.
+func TestDoubtKeepsTrialsComing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		e := estimator.New(now)
+		running := map[uint64]bool{}
+		var next uint64
+		failed := now
+		begin := func(idempotent bool) {
+			doubted := estimator.Doubts(e.Failing(now))
+			admitted := e.Admits(idempotent, now)
+			switch {
+			case !doubted && !admitted:
+				t.Fatalf("a request is refused without doubt")
+			case doubted && admitted && (!idempotent || len(running) > 0):
+				t.Fatalf("a trial is admitted: idempotent %v, %d running", idempotent, len(running))
+			case doubted && !admitted && idempotent && len(running) == 0 && now.Sub(failed) >= time.Second:
+				t.Fatalf("no trial %s after the last failure", now.Sub(failed))
+			}
+			if admitted {
+				next++
+				running[next] = true
+				e.Begin(next, "lookup", now)
+			}
+		}
+		end := func(t *rapid.T, result estimator.Result) {
+			for id := range running {
+				delete(running, id)
+				e.End(id, result, now)
+				failed = now
+				return
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if p := e.Failing(now); p < 0 || p > 1 {
+					t.Fatalf("probability %f", p)
+				}
+			},
+			"idempotent": func(*rapid.T) { begin(true) },
+			"once":       func(*rapid.T) { begin(false) },
+			"answer":     func(t *rapid.T) { end(t, estimator.Answered) },
+			"fail":       func(t *rapid.T) { end(t, estimator.Failed) },
+			"undecided":  func(t *rapid.T) { end(t, estimator.Undecided) },
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
