Go round a silent node at its first silence, and tell the whole fleet

Ruled out: requests drawn to nodes that look idle; the losses were spread evenly, about one for each pair of nodes. Now a node is suspected after 0.7 s without a sign of life and gone round until it answers a question, not a request; it is probed at once, directly and through others, and all nodes go round it while it is suspect. Requests are given up after a second. Tests: forwarder.TestOthersGoRoundASilentNodeBeforeARequestIsGivenUp, prober.TestCheckedNodeIsSuspectEverywhereWithinTwoSeconds.

--- a/avoider/avoider.go
+++ b/avoider/avoider.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// firstHold is how long a node is avoided after its first failure: about the time
-	// in which a killed process is back.
+	// firstHold is the time from a node's first failure until it is asked again: about
+	// that in which a killed process is back.
 	firstHold = 500 * time.Millisecond
-	// maxHold bounds the hold, which doubles with each failure; membership knows of
-	// a dead node by then.
-	maxHold = 4 * time.Second
+	// maxHold bounds that time, which doubles with each failure. A question costs a
+	// connection between nodes.
+	maxHold = time.Second
 	// doubtHold is how long a backend server is left alone that its owner doubts. Other
 	// nodes send trials meanwhile.
 	doubtHold = time.Second
@@ -37,7 +37,8 @@
 // hold is one node to avoid.
 type hold struct {
 	length time.Duration
-	until  time.Time
+	// until is when the node is due to be asked again.
+	until time.Time
 }
 
 // New returns an avoider that avoids no node.
@@ -49,26 +50,24 @@
 	}
 }
 
-// Failed tells that a node could not be reached, and returns how long it is avoided.
-// Failures during a hold count once.
-func (a *Avoider) Failed(node fleet.NodeID) time.Duration {
+// Failed tells that a node could not be reached. It is avoided until it answers or is
+// gone. Failures count once until the node is due to be asked again; begun tells that
+// this one did, and hold when that is.
+func (a *Avoider) Failed(node fleet.NodeID) (hold time.Duration, begun bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	h := a.holds[node]
-	switch {
-	case now.Before(h.until):
-		return h.until.Sub(now)
-	case now.Sub(h.until) > maxHold:
-		h.length = 0
+	if now.Before(h.until) {
+		return 0, false
 	}
 	h.length = min(max(firstHold, 2*h.length), maxHold)
 	h.until = now.Add(h.length)
 	a.holds[node] = h
-	return h.length
+	return h.length, true
 }
 
-// Reached tells that a node answered, and returns whether it had failed before.
+// Reached tells that a node answered or is gone, and returns whether it had failed before.
 func (a *Avoider) Reached(node fleet.NodeID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -78,16 +77,10 @@
 }
 
 // Count returns the number of nodes that are to be avoided at present.
-func (a *Avoider) Count() (nodes int) {
+func (a *Avoider) Count() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
-	for _, h := range a.holds {
-		if now.Before(h.until) {
-			nodes++
-		}
-	}
-	return nodes
+	return len(a.holds)
 }
 
 // Doubted tells that the owner of a backend server doubts it.
@@ -113,7 +106,7 @@
 	}
 	now := a.clock.Now()
 	for _, backend := range backends {
-		if h, found := a.holds[backend.Owner]; found && now.Before(h.until) {
+		if _, found := a.holds[backend.Owner]; found {
 			avoided = append(avoided, backend.ID)
 		}
 		if until, found := a.doubts[backend.ID]; found && now.Before(until) {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -31,6 +31,7 @@
 	options := []forwarder.Option{
 		forwarder.WithAnswerBound(d.set.MaxAnswer),
 		forwarder.WithBodyBound(d.set.MaxBody),
+		forwarder.WithChecker(d.prober),
 		forwarder.WithClock(d.clock),
 		forwarder.WithGlances(d.set.Glances),
 		forwarder.WithGuard(d.guard),
--- a/dispatcher/doubt.go
+++ b/dispatcher/doubt.go
@@ -13,7 +13,7 @@
 // doubt judges a connection to the backend server on which nothing moved for a
 // progress timeout. When a fresh one is answered, the pooled ones are left. Only an
 // idempotent request that is usually much faster is given up; others go on waiting.
-func (a *attempt) doubt(reused bool) bool {
+func (a *attempt) doubt(_ int, reused bool) bool {
 	d := a.dispatcher
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -14,8 +14,15 @@
 	"cowsliptally.example/cowsliptally/scrubber"
 )
 
-// maxTickets bounds how often an attempt is sent anew for want of a fresh ticket.
-const maxTickets = 3
+const (
+	// maxTickets bounds how often an attempt is sent anew for want of a fresh ticket.
+	maxTickets = 3
+	// maxSilences is the number of progress timeouts without a sign of life, about a
+	// second, after which a request is given up whose outcome is unknown then.
+	maxSilences = 3
+	// maxSafeSilences is the same for a request that may run twice.
+	maxSafeSilences = 2
+)
 
 // attempt sends a submission to the owner of a backend server once.
 func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int, way approach) *result {
@@ -66,24 +73,33 @@
 		Address: owner.PeerAddress,
 		Request: request,
 		Content: s.content.Bytes(),
+		Doubt:   func(silences int, _ bool) bool { return f.suspect(s, owner, silences) },
 	})
 	if err != nil {
 		f.blame(ctx, owner, err)
 		return f.unanswered(ctx, s, owner, number, ticket, exchange, err)
 	}
-	if f.avoider.Reached(owner.ID) {
-		f.recorder.Record(fleet.NewEvent(fleet.EventPath, string(owner.ID), "reached"))
-	}
+	f.reached(owner)
 	return f.received(ctx, s, backend, exchange)
 }
 
+// suspect lets other requests go round a node at its first silence, and reports whether
+// the request that met it is given up.
+func (f *Forwarder) suspect(s *submission, owner fleet.Member, silences int) bool {
+	if silences == 1 {
+		f.avoid(owner, "no sign of life")
+	}
+	if s.idempotent {
+		return silences >= maxSafeSilences
+	}
+	return silences >= maxSilences
+}
+
 // blame avoids a node to which no connection could be made or on whose connection
 // nothing came, unless the caller's time was up.
 func (f *Forwarder) blame(ctx context.Context, owner fleet.Member, err error) {
 	if ctx.Err() == nil && fault.KindOf[pooler.Kind](err) != pooler.KindBroken {
-		hold := f.avoider.Failed(owner.ID)
-		f.recorder.Record(fleet.NewEvent(fleet.EventPath, string(owner.ID), "avoided",
-			fleet.Milliseconds("hold", hold)).WithDetail(err.Error()))
+		f.avoid(owner, err.Error())
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -37,6 +37,7 @@
 	clock          clockwork.Clock
 	observer       Observer
 	recorder       Recorder
+	checker        Checker
 	retrier        *retrier.Retrier
 	limiter        *limiter.Limiter
 	guard          *guard.Guard
@@ -71,6 +72,7 @@
 		clock:          clockwork.NewRealClock(),
 		observer:       none{},
 		recorder:       none{},
+		checker:        none{},
 		bodyBound:      DefaultBodyBound,
 		answerBound:    DefaultAnswerBound,
 		timeout:        DefaultTimeout,
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -27,8 +27,9 @@
 	// memoryShares divides the memory between bodies and answers of ingress and owner,
 	// so that slow callers cannot take all of it.
 	memoryShares = 4
-	// DefaultProgress is the time without a sign of life after which a connection is suspected.
-	DefaultProgress = time.Second
+	// DefaultProgress is the time without a sign of life after which a connection is
+	// suspected, more than the spacing of owners' signs of life.
+	DefaultProgress = 350 * time.Millisecond
 	// DefaultWriteTimeout bounds the writing of one part of an answer to a slow caller.
 	DefaultWriteTimeout = 10 * time.Second
 	// sealTimeout bounds one call to another node about a request.
@@ -118,3 +119,8 @@
 func WithRepeatErrors() Option {
 	return func(f *Forwarder) { f.repeatErrors = true }
 }
+
+// WithChecker sets who is told of nodes that met a request with silence.
+func WithChecker(checker Checker) Option {
+	return func(f *Forwarder) { f.checker = checker }
+}
--- a/forwarder/part.go
+++ b/forwarder/part.go
@@ -34,6 +34,11 @@
 	Observe(fleet.Sample)
 }
 
+// Checker finds out for the whole fleet whether a node can be reached.
+type Checker interface {
+	Check(fleet.NodeID)
+}
+
 // Recorder takes events.
 type Recorder interface {
 	Record(fleet.Event)
@@ -45,4 +50,5 @@
 func (none) Observe(fleet.Sample)                                               {}
 func (none) Advise(fleet.ServiceName, fleet.BackendID, float64)                 {}
 func (none) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) func() { return func() {} }
+func (none) Check(fleet.NodeID)                                                 {}
 func (none) Record(fleet.Event)                                                 {}
--- /dev/null
+++ b/forwarder/silence_test.go
@@ -0,0 +1,62 @@
+package forwarder_test
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// mute makes the path to a node lose everything that is sent.
+func (r *rig) mute(name fleet.NodeID) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { listener.Close() })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	member := r.members[name]
+	member.PeerAddress = listener.Addr().String()
+	r.members[name] = member
+}
+
+// await returns once an event of a kind was recorded, and its place among all.
+func (r *rig) await(kind fleet.EventKind) int {
+	for {
+		r.mu.Lock()
+		i := slices.IndexFunc(r.events, func(e fleet.Event) bool { return e.Kind == kind })
+		r.mu.Unlock()
+		if i >= 0 {
+			return i
+		}
+	}
+}
+
+// TestOthersGoRoundASilentNodeBeforeARequestIsGivenUp loses one request on its way: the
+// next ones must not follow it there until it is found lost.
+func TestOthersGoRoundASilentNodeBeforeARequestIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	r := newRig(t)
+	r.addOwner("a", l)
+	r.addOwner("b", l)
+	r.mute("a")
+	lost := make(chan *http.Response)
+	go func() {
+		response, _ := ask(t, r, "POST", "/refund", "x", fleet.HeaderRequest, "lost")
+		lost <- response
+	}()
+	avoided := r.await(fleet.EventPath)
+	response, _ := ask(t, r, "POST", "/refund", "x", fleet.HeaderRequest, "next")
+	is.Equal(response.StatusCode, 200)
+	response = <-lost
+	is.Equal(response.Header.Get(fleet.HeaderExecuted), "unknown")
+	is.Equal(response.Header.Get(fleet.HeaderReason), "silent")
+	is.True(avoided < r.await(fleet.EventSilent))
+	is.Equal(l.count("next"), 1)
+}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -59,6 +59,7 @@
 // else one that is doubted; else one on a path that failed.
 func (f *Forwarder) choose(s *submission, t *search) (fleet.Backend, approach, bool) {
 	avoided, doubted := f.avoider.Among(t.candidates)
+	avoided = append(avoided, f.suspects(t.candidates)...)
 	stages := []struct {
 		excluded []fleet.BackendID
 		approach approach
--- a/pooler/message.go
+++ b/pooler/message.go
@@ -10,7 +10,8 @@
 	Request *http.Request
 	// Content is the whole body.
 	Content []byte
-	// Doubt is asked when no byte moved for a whole progress timeout, and told whether
-	// the connection was used before; it says whether to give up. Nil gives up.
-	Doubt func(reused bool) bool
+	// Doubt is asked when no byte moved for a whole progress timeout, and told for how many
+	// of them in a row, and whether the connection was used before; it says whether to give
+	// up. Nil gives up.
+	Doubt func(silences int, reused bool) bool
 }
--- a/pooler/watcher.go
+++ b/pooler/watcher.go
@@ -14,15 +14,17 @@
 	clock    clockwork.Clock
 	progress time.Duration
 	// doubt is Message.Doubt.
-	doubt  func(reused bool) bool
+	doubt  func(silences int, reused bool) bool
 	cancel context.CancelCauseFunc
 
-	mu      sync.Mutex
-	used    *conn
-	reused  bool
-	moves   uint64
-	timer   clockwork.Timer
-	stopped bool
+	mu     sync.Mutex
+	used   *conn
+	reused bool
+	moves  uint64
+	// silences counts the progress timeouts since a byte moved.
+	silences int
+	timer    clockwork.Timer
+	stopped  bool
 }
 
 // start watches a connection.
@@ -46,7 +48,7 @@
 }
 
 func (w *watcher) check() {
-	if w.still() && (w.doubt == nil || w.doubt(w.reused)) {
+	if silences := w.look(); silences > 0 && (w.doubt == nil || w.doubt(silences, w.reused)) {
 		w.cancel(errSilent)
 		return
 	}
@@ -57,15 +59,18 @@
 	}
 }
 
-// still reports whether no byte moved since the last look.
-func (w *watcher) still() bool {
+// look returns the number of looks in a row that found that no byte moved.
+func (w *watcher) look() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
-		return false
+		return 0
 	}
 	moves := w.used.moves()
-	still := moves == w.moves
+	w.silences++
+	if moves != w.moves {
+		w.silences = 0
+	}
 	w.moves = moves
-	return still
+	return w.silences
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -14,6 +14,7 @@
 
 	"cowsliptally.example/cowsliptally/disseminator"
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/ring"
 	"cowsliptally.example/cowsliptally/roster"
 )
 
@@ -42,6 +43,8 @@
 	joined atomic.Bool
 	// heard is when another node was heard of last.
 	heard atomic.Pointer[time.Time]
+	// checks holds the nodes to be probed out of turn.
+	checks *ring.Ring[fleet.NodeID]
 	// probing bounds the probes that run at a time.
 	probing chan struct{}
 
@@ -80,6 +83,7 @@
 		stops:           newOutlet(stopFanout, rate.NewLimiter(stopsPerSecond, stopBurst), stopCopies),
 		changes:         newOutlet(changeFanout, rate.NewLimiter(changesPerSecond, changeBurst), changeCopies),
 		probing:         make(chan struct{}, maxProbing),
+		checks:          ring.New[fleet.NodeID](maxChecks),
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		suspicions:      make(suspicions),
 		stale:           true,
@@ -99,7 +103,7 @@
 func (p *Prober) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
-		p.runProbes, p.runSuspicions, p.runStops, p.runChanges, p.runComparisons, p.runSeeds, p.runExpiry,
+		p.runProbes, p.runChecks, p.runSuspicions, p.runStops, p.runChanges, p.runComparisons, p.runSeeds, p.runExpiry,
 	} {
 		group.Go(func() error { return duty(ctx) })
 	}
@@ -121,12 +125,12 @@
 	}
 }
 
-// queueMember spreads a change of a node; one that leaves or died goes first, and
-// one that refutes a suspicion.
+// queueMember spreads a change of a node; one that stops or starts requests to it goes
+// first: that it leaves, died, or is suspect, and that it refutes a suspicion.
 func (p *Prober) queueMember(m fleet.Member) {
 	key := disseminator.Key{Class: disseminator.ClassMember, ID: string(m.ID)}
 	refuted := m.State == fleet.MemberAlive && m.Incarnation > 1
-	if m.State == fleet.MemberLeft || m.State == fleet.MemberDead || refuted {
+	if m.State == fleet.MemberSuspect || m.State == fleet.MemberLeft || m.State == fleet.MemberDead || refuted {
 		p.stops.add(key)
 		return
 	}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -86,6 +86,26 @@
 	})
 }
 
+// TestCheckedNodeIsSuspectEverywhereWithinTwoSeconds has a request meet silence at one node.
+func TestCheckedNodeIsSuspectEverywhereWithinTwoSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(64)
+		time.Sleep(10 * time.Second)
+		w.kill(nodes[2])
+		nodes[7].prober.Check(nodes[2].self.ID)
+		nodes[7].prober.Check(nodes[3].self.ID) // lives
+		nodes[7].prober.Check("nobody")
+		time.Sleep(2 * time.Second)
+		for i, n := range nodes {
+			is.True(i == 2 || !n.sees(nodes[2], fleet.MemberAlive))
+			is.True(n.sees(nodes[3], fleet.MemberAlive))
+		}
+	})
+}
+
 // accusations collects who was called suspect or dead.
 func accusations(w *network) func() map[string]bool {
 	var mu sync.Mutex
