Let nodes join through a few seeds and settle by comparing tables

Each node that starts probed every seed at once, on the platform all other nodes: 90,000 probes in the second in which 300 nodes start; and what it missed then waited for a comparison of tables 15 s later. Ruled out: the store (900 calls, 2,000 a second allowed). Before: prober.TestRestartOfAllCostsANodeTheSameAtAnySize fails, 50 nodes do not know each other after 15 s.

--- a/Makefile
+++ b/Makefile
@@ -48,9 +48,11 @@
 slopes:
 	go run ./slopes
 
-# Runs long seeded failure schedules against real processes.
+# Runs long seeded failure schedules against real processes: the product's own nodes,
+# then those of the platform.
 soak: build
 	go test -count=1 -timeout 60m ./proof -run TestSoak -soak -seed $(SEED) -v
+	go test -count=1 -timeout 60m ./platform/starter -run TestSoak -soak -seed $(SEED) -v
 
 install-tools:
 	@[ -x $(LINTER) ] && $(LINTER) version 2>/dev/null | grep -q "$(LINTER_VERSION:v%=%)" || \
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"strings"
 	"sync"
@@ -220,6 +221,50 @@
 	})
 }
 
+// restartOf starts count nodes at the same time, each of which knows all addresses, and
+// returns the calls a node that they make in 15 s.
+func restartOf(t *testing.T, count int) (callsPerNode int) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork()
+		defer w.stopAll()
+		var all []string
+		for i := range count {
+			all = append(all, address(i))
+		}
+		var nodes []*node
+		for i := range count {
+			nodes = append(nodes, w.start(fmt.Sprintf("n%d", i), address(i), all...))
+		}
+		for range 15 {
+			for i, n := range nodes {
+				if err := n.announce(fmt.Sprintf("b%d", i), "ledger", ready); err != nil {
+					t.Error(err)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		w.mu.Lock()
+		callsPerNode = w.calls / count
+		w.mu.Unlock()
+		for _, n := range nodes {
+			if known := len(n.roster.Backends("ledger")); known != count {
+				t.Errorf("%s knows %d of %d backend servers after 15 s", n.self.ID, known, count)
+			}
+		}
+	})
+	return callsPerNode
+}
+
+// TestRestartOfAllCostsANodeTheSameAtAnySize starts fleets whole, as after a loss of power.
+// Everyone knows everyone within the 15 s that a recovery may take.
+func TestRestartOfAllCostsANodeTheSameAtAnySize(t *testing.T) {
+	small, large := restartOf(t, 50), restartOf(t, 200)
+	t.Logf("calls a node in 15 s: %d of 50 nodes, %d of 200", small, large)
+	if large > 2*small {
+		t.Errorf("%d calls a node of 200, %d of 50", large, small)
+	}
+}
+
 func TestEveryNodeReplacedOneAfterAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -10,6 +10,14 @@
 const (
 	// joinInterval is the time between attempts to find a first peer.
 	joinInterval = time.Second
+	// joinSeeds bounds the seeds that are asked at a time. When a whole fleet starts at
+	// once, each node asking a few others connects them all.
+	joinSeeds = 8
+	// settleInterval is the time between two comparisons of a node that has just joined,
+	// and settleRounds bounds their number: what a node learns doubles with each when a
+	// whole fleet starts at once.
+	settleInterval = time.Second
+	settleRounds   = 15
 	// reconnectInterval is the time between attempts to reach a seed or a dead node
 	// that this node does not see, so that parts that were cut off find each other.
 	reconnectInterval = 10 * time.Second
@@ -24,6 +32,7 @@
 	}
 	p.catchUp(ctx)
 	p.joined.Store(true)
+	p.settle(ctx)
 	for p.sleep(ctx, reconnectInterval) {
 		p.reconnect(ctx)
 	}
@@ -46,10 +55,33 @@
 // Joined reports whether the node found the fleet, or is the first of it.
 func (p *Prober) Joined() bool { return p.joined.Load() }
 
-// join probes all seeds at the same time and reports whether this node knows a
+// settle compares tables with random nodes until they are equal twice in a row.
+func (p *Prober) settle(ctx context.Context) {
+	equal := 0
+	for range settleRounds {
+		if !p.sleep(ctx, settleInterval) {
+			return
+		}
+		chosen := p.choose(1, anyone)
+		switch {
+		case len(chosen) == 0:
+		case p.compare(ctx, chosen[0], steadyCalls):
+			equal++
+		default:
+			equal = 0
+		}
+		if equal == 2 {
+			return
+		}
+	}
+}
+
+// join probes some seeds at the same time and reports whether this node knows a
 // peer or is the only one.
 func (p *Prober) join(ctx context.Context) bool {
 	seeds := p.unseen()
+	p.shuffle(seeds)
+	seeds = seeds[:min(len(seeds), joinSeeds)]
 	answers := make(chan struct{}, len(seeds))
 	for _, address := range seeds {
 		go func() {
@@ -94,6 +126,12 @@
 	return seeds
 }
 
+func (p *Prober) shuffle(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+}
+
 func (p *Prober) pick(count int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/faults.go
+++ b/relay/faults.go
@@ -17,4 +17,6 @@
 	Back Direction `json:"back"`
 	// Silent makes the connections open now lose all bytes for good; new ones work.
 	Silent bool `json:"silent"`
+	// Reset resets the connections open now; new ones work.
+	Reset bool `json:"reset"`
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -64,3 +64,13 @@
 		_ = l.far.Close()
 	})
 }
+
+// reset ends both connections without a clean end.
+func (l *link) reset() {
+	for _, side := range []net.Conn{l.near, l.far} {
+		if connection, ok := side.(*net.TCPConn); ok {
+			_ = connection.SetLinger(0) // a connection that is closed already needs none
+		}
+	}
+	l.close()
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,13 +25,15 @@
 func (r *Relay) SetFaults(faults Faults) {
 	r.forward.set(faults.Forward)
 	r.back.set(faults.Back)
-	if !faults.Silent {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for link := range r.links {
-		link.silent.Store(true)
+		if faults.Silent {
+			link.silent.Store(true)
+		}
+		if faults.Reset {
+			link.reset()
+		}
 	}
 }
 
