--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -9,7 +9,7 @@
 
 const (
 	// joinInterval is the time between attempts to find a first peer.
-	joinInterval = time.Second
+	joinInterval = 300 * time.Millisecond
 	// joinSeeds bounds the seeds that are asked at a time. When a whole fleet starts at
 	// once, each node asking a few others connects them all.
 	joinSeeds = 8
