Fuzz the choice of backend servers under doubt, failed paths and suspicion

Cause: that requests keep finding a backend server while all are doubted (the floor) was checked by single cases only, and suspicion of nodes is new. Ruled out: driving whole owners, whose own rules the estimator's fuzzing checks. TestDoubtNeverLeavesARequestWithoutBackendServer stays.

--- /dev/null
+++ b/forwarder/floor_test.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cowsliptally.example/cowsliptally/collector"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// everything is a directory and picker of some backend servers, each with its owner.
+type everything struct {
+	none
+	backends []fleet.Backend
+	suspects map[fleet.NodeID]bool
+	random   func(int) int
+}
+
+func (e *everything) Configuration() fleet.Configuration         { return fleet.Configuration{} }
+func (e *everything) Ready() bool                                { return true }
+func (e *everything) Backends(fleet.ServiceName) []fleet.Backend { return e.backends }
+func (e *everything) Begin(fleet.BackendID)                      {}
+func (e *everything) End(fleet.BackendID)                        {}
+func (e *everything) Fail(fleet.BackendID)                       {}
+func (e *everything) Report(fleet.Load)                          {}
+func (e *everything) Member(id fleet.NodeID) (fleet.Member, bool) {
+	state := fleet.MemberAlive
+	if e.suspects[id] {
+		state = fleet.MemberSuspect
+	}
+	return fleet.Member{ID: id, State: state}, true
+}
+
+func (e *everything) Pick(_ fleet.ServiceName, candidates []fleet.Backend, excluded []fleet.BackendID, _ bool) (fleet.Backend, bool) {
+	var left []fleet.Backend
+	for _, b := range candidates {
+		if !slices.Contains(excluded, b.ID) {
+			left = append(left, b)
+		}
+	}
+	if len(left) == 0 {
+		return fleet.Backend{}, false
+	}
+	return left[e.random(len(left))], true
+}
+
+// TestDoubtNeverLeavesARequestWithoutBackendServer lets owners doubt their backend servers,
+// paths fail and nodes become suspect in any combination, all of them too. A request still
+// finds a backend server until it was sent to each, and goes to no one twice.
+func TestDoubtNeverLeavesARequestWithoutBackendServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		e := &everything{suspects: make(map[fleet.NodeID]bool), random: func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "picked") }}
+		for i := range rapid.IntRange(1, 6).Draw(t, "backends") {
+			e.backends = append(e.backends, fleet.Backend{
+				ID: fleet.BackendID(fmt.Sprint("b", i)), Owner: fleet.NodeID(fmt.Sprint("n", i)), State: fleet.BackendReady,
+			})
+		}
+		f := New("ingress", e, e, e, WithClock(clock), WithGlances(3))
+		draw := func() fleet.Backend { return rapid.SampledFrom(e.backends).Draw(t, "backend") }
+		for range rapid.IntRange(0, 12).Draw(t, "troubles") {
+			switch rapid.IntRange(0, 4).Draw(t, "trouble") {
+			case 0:
+				f.avoider.Doubted(draw().ID)
+			case 1:
+				f.avoider.Failed(draw().Owner)
+			case 2:
+				f.avoider.Reached(draw().Owner)
+			case 3:
+				e.suspects[draw().Owner] = rapid.Bool().Draw(t, "suspect")
+			case 4:
+				clock.Advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			}
+		}
+		s := &submission{service: "ledger", content: &collector.Content{}}
+		search := &search{candidates: e.backends}
+		for range 4 * len(e.backends) {
+			backend, way, found := f.choose(s, search)
+			if !found {
+				break
+			}
+			if slices.Contains(search.tried, backend.ID) {
+				t.Fatalf("%s is chosen again", backend.ID)
+			}
+			outcomes := []*result{
+				{outcome: fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: fleet.ReasonBroken}},
+				{outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}},
+			}
+			if way == glance {
+				outcomes = append(outcomes, &result{glanced: true, outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}})
+			}
+			if way != insist {
+				outcomes = append(outcomes, refused(fleet.ReasonDoubt, ""))
+			}
+			search.note(backend, rapid.SampledFrom(outcomes).Draw(t, "outcome"))
+		}
+		if len(search.tried) != len(e.backends) {
+			t.Fatalf("only %v of %d backend servers were tried", search.tried, len(e.backends))
+		}
+	})
+}
