Let owners pay for retries that the ingress cannot

Tests: forwarder.TestOwnersPayForRetriesThatTheIngressCannot, and loans in retrier.TestBudgetHoldsInEveryWindow.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,8 +93,10 @@
 	guard          *guard.Guard
 	memory         *accountant.Accountant
 	spreader       *spreader.Spreader
-	forwarder      *forwarder.Forwarder
-	dispatcher     *dispatcher.Dispatcher
+	// retrier is that of a retry budget shared by the fleet; nil without one.
+	retrier    *retrier.Retrier
+	forwarder  *forwarder.Forwarder
+	dispatcher *dispatcher.Dispatcher
 }
 
 // New returns a node with checked settings; Run starts it.
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -23,6 +23,13 @@
 	d.poisoner = poisoner.New(d.clock)
 	d.memory = accountant.New(d.set.Memory)
 	d.spreader = spreader.New(d.self.ID, d.roster, d.client, spreader.WithClock(d.clock))
+	if d.allowance != nil {
+		d.retrier = retrier.New(
+			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.prober.Nodes()) }),
+			retrier.WithAttempts(maxAttempts),
+			retrier.WithClock(d.clock),
+			retrier.WithLoans())
+	}
 	d.forwarder = forwarder.New(d.self.ID, d.configurations, d.roster, d.balancer, d.forwarderOptions()...)
 	d.dispatcher = dispatcher.New(d.self.ID, d.registrar, d.dispatcherOptions()...)
 }
@@ -47,11 +54,8 @@
 	if d.set.RepeatErrors {
 		options = append(options, forwarder.WithRepeatErrors())
 	}
-	if d.allowance != nil {
-		options = append(options, forwarder.WithRetrier(retrier.New(
-			retrier.WithAllowance(func() retrier.Allowance { return d.allowance(d.prober.Nodes()) }),
-			retrier.WithAttempts(maxAttempts),
-			retrier.WithClock(d.clock))))
+	if d.retrier != nil {
+		options = append(options, forwarder.WithRetrier(d.retrier))
 	}
 	return options
 }
@@ -75,6 +79,9 @@
 	} else {
 		options = append(options, dispatcher.WithObserver(observer{d.judge}))
 	}
+	if d.retrier != nil {
+		options = append(options, dispatcher.WithLender(d.retrier))
+	}
 	if d.dialect != nil {
 		options = append(options, dispatcher.WithDialect(d.dialect))
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -131,6 +131,9 @@
 	if a.gate.doubts(a.call) {
 		return refused(fleet.ReasonDoubt)
 	}
+	if a.call.owed > 0 && !a.dispatcher.lender.Lend(a.backend.Service, a.call.owed) {
+		return refused(fleet.ReasonBudget)
+	}
 	switch a.dispatcher.sealer.Begin(a.call.sealing()) {
 	case sealer.Begun:
 		return fleet.Outcome{}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -24,6 +24,8 @@
 	trial        bool
 	// impatient attempts are refused when no slot is free.
 	impatient bool
+	// owed is what this node has to pay of its retry budget for the attempt; 0 for nothing.
+	owed float64
 	// insistent attempts are sent even to a doubted backend server.
 	insistent bool
 	// target is when an answer begins to be worth less; zero if it never does.
@@ -67,6 +69,13 @@
 		}
 		c.target = now.Add(time.Duration(left) * time.Millisecond)
 	}
+	if value := header.Get(fleet.HeaderOwed); value != "" {
+		owed, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(owed > 0) {
+			return call{}, fmt.Errorf("header %s is %q, not a number above 0", fleet.HeaderOwed, value)
+		}
+		c.owed = owed
+	}
 	c.attempt, c.weight = attempt, weight
 	c.deadline = now.Add(time.Duration(timeout) * time.Millisecond)
 	return c, nil
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 	configurations Configurations
 	observer       Observer
 	recorder       Recorder
+	lender         Lender
 	suspects       Suspects
 	members        Members
 	sealer         *sealer.Sealer
@@ -66,6 +67,7 @@
 		configurations: none{},
 		observer:       none{},
 		recorder:       none{},
+		lender:         none{},
 		suspects:       none{},
 		members:        none{},
 		bodyBound:      DefaultBodyBound,
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -126,3 +126,9 @@
 func WithUndelimited() Option {
 	return func(d *Dispatcher) { d.undelimited = true }
 }
+
+// WithLender sets who pays for retries that other nodes' budgets did not allow; without
+// one they are refused.
+func WithLender(lender Lender) Option {
+	return func(d *Dispatcher) { d.lender = lender }
+}
--- a/dispatcher/part.go
+++ b/dispatcher/part.go
@@ -45,12 +45,19 @@
 	Members() []fleet.Member
 }
 
+// Lender pays for retries of other nodes from this node's retry budget.
+type Lender interface {
+	// Lend reports whether the budget of a service allows it.
+	Lend(service fleet.ServiceName, owed float64) bool
+}
+
 // none stands in for parts that were not given.
 type none struct{}
 
 func (none) Nats(fleet.BackendID) float64                                       { return 0 }
 func (none) Watch(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) func() { return func() {} }
 func (none) Observe(fleet.Sample)                                               {}
+func (none) Lend(fleet.ServiceName, float64) bool                               { return false }
 func (none) Record(fleet.Event)                                                 {}
 func (none) Report(context.Context, fleet.BackendID, []string)                  {}
 func (none) Clear(context.Context, string)                                      {}
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -55,6 +55,9 @@
 	// HeaderTarget carries the milliseconds between nodes until an answer is worth less;
 	// 0 or less when it is already.
 	HeaderTarget = "Cowsliptally-Target"
+	// HeaderOwed carries the price of a retry that the sender's part of the retry budget
+	// did not allow; the receiver pays it, or refuses the attempt.
+	HeaderOwed = "Cowsliptally-Owed"
 	// HeaderInsist carries "true" on an attempt that is sent even to a doubted backend server.
 	HeaderInsist = "Cowsliptally-Insist"
 	// HeaderPatience carries "none" on an attempt that must not wait for a slot.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -125,6 +125,9 @@
 	if !s.target.IsZero() {
 		r.Header.Set(fleet.HeaderTarget, strconv.FormatInt(s.target.Sub(f.clock.Now()).Milliseconds(), 10))
 	}
+	if s.owed > 0 {
+		r.Header.Set(fleet.HeaderOwed, strconv.FormatFloat(s.owed, 'f', -1, 64))
+	}
 	r.RequestURI = ""
 	r.URL.Scheme = "http"
 	r.URL.Host = owner.PeerAddress
@@ -208,6 +211,7 @@
 	case executed == fleet.ExecutedNo && reason != "":
 		r := refused(reason, "the owner refused the request")
 		r.reached = exchange.Response.Header.Get(fleet.HeaderReached) == "true"
+		r.blameless = reason == fleet.ReasonBudget
 		return r
 	case executed == fleet.ExecutedUnknown && reason != "":
 		r := unknown(reason, "the owner lost the request")
--- a/forwarder/search.go
+++ b/forwarder/search.go
@@ -15,6 +15,10 @@
 	ran int
 	// late is the number of owners that said that the time left is too short.
 	late int
+	// broke is the number of owners that did not pay for a retry.
+	broke int
+	// origin is the failure for whose retry others were asked to pay.
+	origin *result
 	// failed is an answer that reports an error, kept in case no better one comes.
 	failed *result
 }
@@ -22,6 +26,9 @@
 // note keeps what a failed attempt means for the next ones.
 func (t *search) note(backend fleet.Backend, last *result) {
 	switch {
+	case last.outcome.Reason == fleet.ReasonBudget:
+		t.broke++
+		t.tried = append(t.tried, backend.ID)
 	case last.glanced:
 		t.full = append(t.full, backend.ID)
 	case last.outcome.Reason == fleet.ReasonDoubt:
@@ -63,5 +70,13 @@
 	return t.failed
 }
 
-// looked returns the attempts that only looked.
-func (t *search) looked() int { return len(t.full) + len(t.doubted) }
+// looked returns the attempts that only looked, or asked for a payment in vain.
+func (t *search) looked() int { return len(t.full) + len(t.doubted) + t.broke }
+
+// cause returns the failure to tell the caller: not that nobody paid, but what failed.
+func (t *search) cause(last *result) *result {
+	if last.outcome.Reason == fleet.ReasonBudget && t.origin != nil {
+		return t.origin
+	}
+	return last
+}
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -45,6 +45,9 @@
 	trace []string
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
+	// owed is the price of the retry that is under way, which the owner has to pay; 0 when
+	// it is paid.
+	owed float64
 	// lostOwners counts the owners that could not be asked any more about an attempt.
 	lostOwners int
 	// trialNode permitted the trial run of this suspect; it is empty for others.
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -18,6 +18,9 @@
 	maxLate = 2
 	// maxDoubted bounds the doubted backend servers that a submission passes over.
 	maxDoubted = 6
+	// maxBroke bounds the owners that are asked to pay for a retry. Three random ones hold
+	// a good part of what is left in the fleet; each costs a message.
+	maxBroke = 3
 )
 
 // try makes attempts until one is answered or no other is allowed.
@@ -29,7 +32,7 @@
 		t.candidates = f.directory.Backends(s.service)
 		backend, approach, found := f.choose(s, t)
 		if !found {
-			return t.best(f.without(s, last))
+			return t.best(t.cause(f.without(s, last)))
 		}
 		last = f.attempt(ctx, s, backend, number, approach)
 		s.trace = append(s.trace, last.describe(backend, approach))
@@ -41,8 +44,11 @@
 		if last.outcome.Reason == fleet.ReasonDoubt {
 			f.avoider.Doubted(backend.ID)
 		}
-		if t.late >= maxLate || !f.again(ctx, s, number-t.looked(), t.ran, last) {
-			return t.best(last)
+		if t.late >= maxLate || t.broke >= maxBroke || !f.again(ctx, s, number-t.looked(), t.ran, last) {
+			return t.best(t.cause(last))
+		}
+		if s.owed > 0 && last.outcome.Reason != fleet.ReasonBudget {
+			t.origin = last
 		}
 		t.keep(last)
 	}
@@ -111,10 +117,14 @@
 	return refused(fleet.ReasonNoBackend, "service "+string(s.service)+" has no backend server that takes work")
 }
 
-// again asks for a retry and waits until it is due. Looking elsewhere is no retry.
+// again asks for a retry and waits until it is due. Looking elsewhere is no retry, nor is
+// asking another owner to pay for one.
 func (f *Forwarder) again(ctx context.Context, s *submission, number, ran int, last *result) bool {
-	if last.glanced || last.outcome.Reason == fleet.ReasonDoubt {
+	switch {
+	case last.glanced, last.outcome.Reason == fleet.ReasonDoubt, last.outcome.Reason == fleet.ReasonBudget:
 		return ctx.Err() == nil
+	case last.reached || last.outcome.Executed != fleet.ExecutedNo:
+		s.owed = 0
 	}
 	decision := f.retrier.Decide(retrier.Attempt{
 		Service:    s.service,
@@ -137,8 +147,10 @@
 		}
 		return false
 	}
+	s.owed = max(s.owed, decision.Owed)
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
+		fleet.Figure{Name: "owed", Value: s.owed},
 		fleet.Milliseconds("delay", decision.Delay),
 	).WithService(s.service))
 	return f.wait(ctx, decision.Delay)
--- a/retrier/option.go
+++ b/retrier/option.go
@@ -51,3 +51,9 @@
 func WithRandom(random func() float64) Option {
 	return func(r *Retrier) { r.random = random }
 }
+
+// WithLoans lets a retry that this node's budget does not allow be paid by another node,
+// by its Lend.
+func WithLoans() Option {
+	return func(r *Retrier) { r.loans = true }
+}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -16,7 +16,9 @@
 	ratio float64
 	burst float64
 	// shared returns the node's part of the fleet's budget, where there is one.
-	shared   func() Allowance
+	shared func() Allowance
+	// loans is set when other nodes may pay.
+	loans    bool
 	attempts int
 	base     time.Duration
 	random   func() float64
@@ -85,12 +87,20 @@
 	if delay >= a.Remaining {
 		return refusal
 	}
-	if !r.spend(a) {
+	cost := r.cost(a)
+	switch {
+	case r.spend(a.Service, cost):
+		return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason}
+	case r.loans:
+		return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason, Owed: cost}
+	default:
 		return Decision{Reason: fleet.ReasonBudget}
 	}
-	return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason}
 }
 
+// Lend pays for a retry of another node and reports whether this node's budget allows it.
+func (r *Retrier) Lend(service fleet.ServiceName, owed float64) bool { return r.spend(service, owed) }
+
 // Repeatable reports whether an outcome permits another attempt at all.
 func Repeatable(outcome fleet.Outcome, idempotent bool) bool {
 	switch outcome.Reason {
@@ -108,15 +118,19 @@
 	}
 }
 
-func (r *Retrier) spend(a Attempt) bool {
-	cost := 1.0
+// cost returns the price of a retry.
+func (r *Retrier) cost(a Attempt) float64 {
 	if r.shared != nil {
-		cost = r.shared().cost(a)
+		return r.shared().cost(a)
 	}
+	return 1
+}
+
+func (r *Retrier) spend(service fleet.ServiceName, cost float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	left := r.account(a.Service)
+	left := r.account(service)
 	if left.left(now) < cost {
 		return false
 	}
--- a/retrier/window_test.go
+++ b/retrier/window_test.go
@@ -70,8 +70,7 @@
 	return sum
 }
 
-// fail lets an attempt fail, as often as the budget permits another one, and checks the
-// budget of the service against what happened in the last window.
+// fail lets an attempt fail, as often as the budget permits another one.
 func (l *ledger) fail(t *rapid.T, service fleet.ServiceName, failed bool, times int) {
 	attempt := retrier.Attempt{Service: service, Number: 1, Reached: true, Idempotent: true, Remaining: time.Minute,
 		Outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}}
@@ -83,11 +82,16 @@
 		if !l.retrier.Decide(attempt).Retry {
 			return
 		}
-		l.repeats = append(l.repeats, happening{l.clock.Now(), service, cost})
-		spent := l.since(l.repeats, service)
-		if bound := ratio*l.since(l.requests, service) + slack; spent > bound+1e-9 {
-			t.Fatalf("%s: repeats for %.1f in %s, bound %.1f", service, spent, span, bound)
-		}
+		l.repeat(t, service, cost)
+	}
+}
+
+// repeat notes a repeat and compares those of the last window with the budget.
+func (l *ledger) repeat(t *rapid.T, service fleet.ServiceName, cost float64) {
+	l.repeats = append(l.repeats, happening{l.clock.Now(), service, cost})
+	spent := l.since(l.repeats, service)
+	if bound := ratio*l.since(l.requests, service) + slack; spent > bound+1e-9 {
+		t.Fatalf("%s: repeats for %.1f in %s, bound %.1f", service, spent, span, bound)
 	}
 }
 
@@ -114,6 +118,12 @@
 				service := rapid.SampledFrom(services).Draw(t, "service")
 				l.fail(t, service, rapid.Bool().Draw(t, "failed"), rapid.IntRange(1, 12).Draw(t, "times"))
 			},
+			"lend": func(t *rapid.T) {
+				service := rapid.SampledFrom(services).Draw(t, "service")
+				if l.retrier.Lend(service, 1) {
+					l.repeat(t, service, 1)
+				}
+			},
 			"restart": func(*rapid.T) { l.start() },
 		})
 	})
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -23,7 +23,7 @@
 	fleet.HeaderRevision, fleet.HeaderLength, fleet.HeaderTicket, fleet.HeaderWeight,
 	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial, fleet.HeaderReporter,
 	fleet.HeaderCrashed, fleet.HeaderReached, fleet.HeaderPatience,
-	fleet.HeaderInsist, fleet.HeaderTarget,
+	fleet.HeaderInsist, fleet.HeaderTarget, fleet.HeaderOwed,
 }
 
 // Connection removes the headers that concern one connection.
