Tell callers what failed, not which owner was full after it

Cause: read as a whole, a retry that nobody paid for told the caller the last look at a full or doubted backend server, and the time limit of a question to a silent node did not match the one for making its connection. Ruled out: keeping the first failure only; a later one, paid for, is the one to tell. Before: the reason busy or doubt. After: the failure's own reason (forwarder.TestCallerIsToldTheFailureNotWhoDidNotPay).

--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -7,9 +7,9 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// askTimeout bounds a question whether a node can be reached again. A first packet that
-// is lost is sent again after a second.
-const askTimeout = 1200 * time.Millisecond
+// askTimeout bounds a question whether a node can be reached again; between zones an
+// answer takes a few milliseconds.
+const askTimeout = 500 * time.Millisecond
 
 // avoid lets requests go round a node until it answers a question, so that no request is
 // lost to find out.
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -47,8 +47,8 @@
 		if t.late >= maxLate || t.broke >= maxBroke || !f.again(ctx, s, number-t.looked(), t.ran, last) {
 			return t.best(t.cause(last))
 		}
-		if s.owed > 0 && last.outcome.Reason != fleet.ReasonBudget {
-			t.origin = last
+		if s.owed > 0 {
+			t.owe(last)
 		}
 		t.keep(last)
 	}
