Make one piece of code serve what was written twice

Ruled out: one TestMain for all packages with rapid (a dozen older ones have it, with other seeds and counts); a count of suspects in the roster to spare forwarder's look at each candidate's owner (a microsecond of a request's 600).

--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -43,6 +43,13 @@
 // answered reports whether there is an answer of a backend server.
 func (r *result) answered() bool { return r.outcome.Executed == fleet.ExecutedYes }
 
+// looked reports whether an owner only turned the attempt away, for want of a free slot,
+// in doubt of its backend server, or because it does not pay for a retry. Going on to
+// another owner is no retry, and there is no failure to tell the caller.
+func (r *result) looked() bool {
+	return r.glanced || r.outcome.Reason == fleet.ReasonDoubt || r.outcome.Reason == fleet.ReasonBudget
+}
+
 // close gives the answer's connection and memory back.
 func (r *result) close() {
 	if r.exchange != nil {
--- a/forwarder/search.go
+++ b/forwarder/search.go
@@ -73,12 +73,9 @@
 // looked returns the attempts that only looked, or asked for a payment in vain.
 func (t *search) looked() int { return len(t.full) + len(t.doubted) + t.broke }
 
-// owe keeps the failure for whose retry others are asked to pay. An owner that had no free
-// slot, or doubts its backend server, is none.
+// owe keeps the failure for whose retry others are asked to pay.
 func (t *search) owe(last *result) {
-	switch {
-	case last.glanced, last.outcome.Reason == fleet.ReasonDoubt, last.outcome.Reason == fleet.ReasonBudget:
-	default:
+	if !last.looked() {
 		t.origin = last
 	}
 }
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -121,7 +121,7 @@
 // asking another owner to pay for one.
 func (f *Forwarder) again(ctx context.Context, s *submission, number, ran int, last *result) bool {
 	switch {
-	case last.glanced, last.outcome.Reason == fleet.ReasonDoubt, last.outcome.Reason == fleet.ReasonBudget:
+	case last.looked():
 		return ctx.Err() == nil
 	case last.reached || last.outcome.Executed != fleet.ExecutedNo:
 		s.owed = 0
--- a/prober/check.go
+++ b/prober/check.go
@@ -27,14 +27,6 @@
 		if !found || target.State != fleet.MemberAlive {
 			continue
 		}
-		select {
-		case p.probing <- struct{}{}:
-		default:
-			continue
-		}
-		duties.Go(func() {
-			p.judge(ctx, target)
-			<-p.probing
-		})
+		p.launch(ctx, &duties, target)
 	}
 }
--- a/prober/probe.go
+++ b/prober/probe.go
@@ -31,21 +31,25 @@
 		}
 		p.notePause(p.clock.Since(started) - interval)
 		target, found := p.nextTarget()
-		if !found {
-			continue
+		if found {
+			p.launch(ctx, &duties, target)
 		}
-		select {
-		case p.probing <- struct{}{}:
-		default:
-			continue
-		}
-		duties.Go(func() {
-			p.judge(ctx, target)
-			<-p.probing
-		})
 	}
 }
 
+// launch judges a node beside others, unless too many probes run already.
+func (p *Prober) launch(ctx context.Context, duties *sync.WaitGroup, target fleet.Member) {
+	select {
+	case p.probing <- struct{}{}:
+	default:
+		return
+	}
+	duties.Go(func() {
+		p.judge(ctx, target)
+		<-p.probing
+	})
+}
+
 // notePause makes this node slower to judge when its own timers fire late.
 func (p *Prober) notePause(pause time.Duration) {
 	if pause < slack {
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,9 +32,9 @@
 	clock   clockwork.Clock
 	lines   *ring.Ring[[]byte]
 	limiter *rate.Limiter
-	dropped atomic.Int64
-	// total counts the lines that were left out since the start.
-	total metrics.Counter
+	// dropped counts the lines that were left out, reported those that a report told of.
+	dropped  metrics.Counter
+	reported int64
 }
 
 // New returns a spooler before an output; Run writes. It counts the lines that are left
@@ -46,7 +45,7 @@
 		clock:   clock,
 		lines:   ring.New[[]byte](capacity),
 		limiter: rate.NewLimiter(linesPerSecond, burst),
-		total:   metrics.GetOrRegisterCounter("log.dropped", registry),
+		dropped: metrics.GetOrRegisterCounter("log.dropped", registry),
 	}
 }
 
@@ -65,8 +64,7 @@
 // Write takes a line, or leaves it out. It never fails.
 func (s *Spooler) Write(line []byte) (int, error) {
 	if !s.limiter.AllowN(s.clock.Now(), 1) || !s.lines.Push(append([]byte(nil), line...)) {
-		s.dropped.Add(1)
-		s.total.Inc(1)
+		s.dropped.Inc(1)
 	}
 	return len(line), nil
 }
@@ -106,10 +104,12 @@
 
 // report tells how many lines were left out since the last report.
 func (s *Spooler) report() error {
-	dropped := s.dropped.Swap(0)
+	total := s.dropped.Count()
+	dropped := total - s.reported
 	if dropped == 0 {
 		return nil
 	}
+	s.reported = total
 	_, err := fmt.Fprintf(s.out, "level=warn msg=dropped lines=%d\n", dropped)
 	return err
 }
