Notice callers that leave behind pipelined requests; keep the last answer of a connection

Cause: net/http reads one byte while a handler runs and stops there when it belongs to a pipelined request, so the end of the connection is not seen and the backend server works on for a caller that has left. And a connection that is closed after an answer while requests behind it are unread is reset, which loses the answer. Ruled out: a full reader of our own for HTTP/1.1 (a second parser beside net/http's may frame differently). Conclusion: a listener around net/http reads ahead up to 64 KiB a connection, only where requests are pipelined.

--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,76 @@
+package acceptor
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"cowsliptally.example/cowsliptally/drainer"
+)
+
+const (
+	// DefaultReadAhead is the number of bytes of pipelined requests that are read ahead
+	// on one connection.
+	DefaultReadAhead = 64 << 10
+	// DefaultLinger is how long a closed connection is read until its other end closes it.
+	DefaultLinger = 500 * time.Millisecond
+)
+
+// Acceptor is a net.Listener.
+type Acceptor struct {
+	net.Listener
+	readAhead int
+	linger    time.Duration
+	// lingering counts the closed connections that are still read.
+	lingering *drainer.Drainer
+}
+
+// Option changes a setting of an acceptor.
+type Option func(*Acceptor)
+
+// WithReadAhead sets the number of bytes that are read ahead on one connection.
+func WithReadAhead(bytes int) Option {
+	return func(a *Acceptor) { a.readAhead = bytes }
+}
+
+// WithLinger sets how long a closed connection is read until its other end closes it.
+func WithLinger(linger time.Duration) Option {
+	return func(a *Acceptor) { a.linger = linger }
+}
+
+// New returns an acceptor of the connections of a listener.
+func New(listener net.Listener, options ...Option) *Acceptor {
+	a := &Acceptor{Listener: listener, readAhead: DefaultReadAhead, linger: DefaultLinger, lingering: drainer.New()}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
+
+// Accept returns the next connection.
+func (a *Acceptor) Accept() (net.Conn, error) {
+	accepted, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: accepted, acceptor: a}, nil
+}
+
+// Wait waits until no closed connection is read any more. It is called once the server is
+// closed: connections that are closed later are not read.
+func (a *Acceptor) Wait(ctx context.Context) error {
+	a.lingering.Close()
+	return a.lingering.Wait(ctx)
+}
+
+// Context is the ConnContext of an http.Server: it returns a context that ends when the
+// other end closes the connection, also while pipelined requests are waiting.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	accepted, ok := c.(*conn)
+	if !ok {
+		return ctx
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	accepted.setCancel(cancel)
+	return ctx
+}
--- /dev/null
+++ b/acceptor/conn.go
@@ -0,0 +1,219 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// aLongTimeAgo is a deadline that interrupts a pending read.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// conn is an accepted connection. While a request is served, net/http reads a single byte
+// to notice the end of the connection, and stops at the first byte of a pipelined request.
+// From then on the connection is read ahead into a buffer until the next Read.
+type conn struct {
+	net.Conn
+	acceptor *Acceptor
+	// inRead is held during a Read.
+	inRead sync.Mutex
+
+	mu sync.Mutex
+	// deadline is the read deadline set by net/http.
+	deadline time.Time
+	// ahead holds the bytes that were read ahead.
+	ahead []byte
+	// err is the error that ended reading ahead; it is returned after the bytes.
+	err error
+	// reading is closed when reading ahead ends; nil when it is not under way.
+	reading chan struct{}
+	cancel  context.CancelFunc
+	closed  bool
+}
+
+func (c *conn) setCancel(cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// Read returns bytes that were read ahead, then reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	c.inRead.Lock()
+	defer c.inRead.Unlock()
+	c.stopReadingAhead()
+	n, err, found := c.takeAhead(b)
+	if !found {
+		n, err = c.Conn.Read(b)
+		c.noteEnd(err)
+	}
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	if len(b) == 1 && n == 1 && err == nil {
+		c.startReadingAhead()
+	}
+	return n, err
+}
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// takeAhead returns what was read ahead, or found false if nothing is left of it.
+func (c *conn) takeAhead(b []byte) (n int, err error, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ahead) > 0 {
+		n = copy(b, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil, true
+	}
+	c.ahead = nil
+	return 0, c.err, c.err != nil
+}
+
+func (c *conn) startReadingAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.err != nil || len(c.ahead) >= c.acceptor.readAhead {
+		return
+	}
+	c.reading = make(chan struct{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	go c.readAhead(c.reading)
+}
+
+// stopReadingAhead ends reading ahead and restores the read deadline.
+func (c *conn) stopReadingAhead() {
+	c.mu.Lock()
+	reading := c.reading
+	c.mu.Unlock()
+	if reading == nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	<-reading
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = nil
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
+// readAhead reads until the buffer is full, the connection ends or it is interrupted.
+func (c *conn) readAhead(done chan<- struct{}) {
+	defer close(done)
+	part := make([]byte, readSize)
+	for {
+		n, err := c.Conn.Read(part[:min(len(part), c.room())])
+		c.mu.Lock()
+		c.ahead = append(c.ahead, part[:n]...)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.err = err
+		}
+		c.mu.Unlock()
+		c.noteEnd(err)
+		if err != nil || c.room() == 0 {
+			return
+		}
+	}
+}
+
+// readSize is the number of bytes of one read ahead.
+const readSize = 4 << 10
+
+// room returns the number of bytes that may still be read ahead.
+func (c *conn) room() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(0, c.acceptor.readAhead-len(c.ahead))
+}
+
+// noteEnd ends the context of the connection's requests if the connection ended.
+func (c *conn) noteEnd(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	c.err = err
+	cancel := c.cancel
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// SetDeadline sets both deadlines.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// SetReadDeadline sets the deadline of Read; reading ahead has none.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.reading != nil || c.closed {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite ends the sending direction.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close ends the sending direction at once, and the connection once the other end has
+// closed it or the linger time has passed: closing a connection with unread bytes would
+// reset it, and the other end would lose the last answer.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return net.ErrClosed
+	}
+	c.closed = true
+	ended, cancel := c.err != nil, c.cancel
+	c.mu.Unlock()
+	if cancel != nil {
+		defer cancel()
+	}
+	if ended || !c.acceptor.lingering.Enter() {
+		return c.Conn.Close()
+	}
+	_ = c.CloseWrite() // fails only if the connection has ended, which discard notices
+	// Interrupts a Read that is under way.
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	go c.drain()
+	return nil
+}
+
+// drain reads the rest of a closed connection and then closes it.
+func (c *conn) drain() {
+	defer c.acceptor.lingering.Leave()
+	c.inRead.Lock()
+	defer c.inRead.Unlock()
+	c.stopReadingAhead()
+	c.discard()
+	_ = c.Conn.Close()
+}
+
+// discard reads until the other end closes the connection or the linger time has passed.
+func (c *conn) discard() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.acceptor.linger))
+	part := make([]byte, readSize)
+	for {
+		if _, err := c.Conn.Read(part); err != nil {
+			return
+		}
+	}
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"cowsliptally.example/cowsliptally/acceptor"
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
 	"cowsliptally.example/cowsliptally/recorder"
@@ -29,9 +30,10 @@
 
 // servers are the two HTTP servers of a node with their listeners.
 type servers struct {
-	callers, peers               *http.Server
-	callerListener, peerListener net.Listener
-	errs                         chan error
+	callers, peers *http.Server
+	callerListener *acceptor.Acceptor
+	peerListener   net.Listener
+	errs           chan error
 }
 
 // listen opens both addresses.
@@ -48,10 +50,11 @@
 	s := &servers{
 		callers:        newServer(d.callerRouter()),
 		peers:          newServer(d.peerRouter()),
-		callerListener: callerListener,
+		callerListener: acceptor.New(callerListener),
 		peerListener:   peerListener,
 		errs:           make(chan error, 2),
 	}
+	s.callers.ConnContext = acceptor.Context
 	return s, nil
 }
 
@@ -72,7 +75,8 @@
 // close waits for connections in use and closes both servers.
 func (s *servers) close(ctx context.Context) error {
 	err := errors.Join(s.callers.Shutdown(ctx), s.peers.Shutdown(ctx))
-	return errors.Join(err, s.callers.Close(), s.peers.Close())
+	err = errors.Join(err, s.callers.Close(), s.peers.Close())
+	return errors.Join(err, s.callerListener.Wait(ctx))
 }
 
 func newServer(handler http.Handler) *http.Server {
