Let twelve nodes read the configuration's source and notify the others

The last: all of them fail together in 3 of a million such cases. Each other node is notified by three readers, and a node that hears of a change notifies two random ones. A reader that is suspect is replaced at once, as ranks count live nodes only. Found by the test: with three notifiers alone and ten of twelve readers blind, 22 of 235 nodes were behind after 2 s, blind readers among them; hence the relays, and notifications to readers too. Membership tests in virtual time: 5, 27 and 120 nodes, five in six of the readers blind, paused or killed at the moment of a change, all in force within 2 s. At the first start nodes wait 2 s before they read, so that they know the readers; other starts read at once.

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -15,12 +15,16 @@
 
 // Adopter holds the newest configuration. It is safe for concurrent use.
 type Adopter struct {
-	node     fleet.NodeID
-	source   Source
-	peers    Peers
-	members  func() []fleet.Member
-	recorder Recorder
-	clock    clockwork.Clock
+	node      fleet.NodeID
+	source    Source
+	peers     Peers
+	members   func() []fleet.Member
+	recorder  Recorder
+	clock     clockwork.Clock
+	delegator Delegator
+	notify    func(context.Context)
+	// changes holds a value while other nodes are to be notified of a change.
+	changes chan struct{}
 	// newerPeers holds addresses of nodes that reported a newer revision.
 	newerPeers *ring.Ring[string]
 
@@ -41,6 +45,9 @@
 		members:    func() []fleet.Member { return nil },
 		recorder:   noRecorder{},
 		clock:      clockwork.NewRealClock(),
+		delegator:  alwaysReads{},
+		notify:     func(context.Context) {},
+		changes:    make(chan struct{}, 1),
 		newerPeers: ring.New[string](maxPendingPeers),
 	}
 	for _, option := range options {
@@ -81,13 +88,20 @@
 	return a.confirmed
 }
 
-// Run follows the source, and other nodes while it fails, until ctx is done.
+// Run follows the source, and other nodes while it fails, until ctx is done. While this
+// node does not read the source, it only hears of changes from other nodes.
 func (a *Adopter) Run(ctx context.Context) error {
 	var background sync.WaitGroup
 	defer background.Wait()
 	background.Go(func() { a.followPeers(ctx) })
+	background.Go(func() { a.notifyChanges(ctx) })
 	pause := minPause
+	var read fleet.Revision
 	for ctx.Err() == nil {
+		if !a.delegator.Reads() {
+			a.sleep(ctx, delegationInterval)
+			continue
+		}
 		document, err := a.source.Next(ctx, a.Document().Revision)
 		if ctx.Err() != nil {
 			break
@@ -95,7 +109,14 @@
 		a.updateSourceStatus(err)
 		if err == nil {
 			pause = minPause
-			if a.adopt(document, "source") {
+			adopted := a.adopt(document, "source")
+			if document.Revision > read {
+				// Also if it was adopted from another node a moment before: that node need
+				// not notify the same ones.
+				read = document.Revision
+				a.requestNotification()
+			}
+			if adopted {
 				a.sleep(ctx, changePause)
 			}
 			continue
@@ -114,6 +135,26 @@
 	}
 }
 
+// requestNotification has the other nodes notified of the newest change.
+func (a *Adopter) requestNotification() {
+	select {
+	case a.changes <- struct{}{}:
+	default:
+	}
+}
+
+// notifyChanges notifies other nodes of changes until ctx is done.
+func (a *Adopter) notifyChanges(ctx context.Context) {
+	for {
+		select {
+		case <-a.changes:
+			a.notify(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // followPeers fetches the documents of the nodes in newerPeers until ctx is done.
 func (a *Adopter) followPeers(ctx context.Context) {
 	for {
@@ -151,7 +192,9 @@
 		a.recorder.Record(fleet.NewEvent(fleet.EventSkipped, address, "configuration not fetched: "+err.Error()))
 		return
 	}
-	a.adopt(document, address)
+	if a.adopt(document, address) {
+		a.requestNotification()
+	}
 }
 
 // adopt puts a document in force if it is newer, and reports whether it did.
--- a/adopter/interfaces.go
+++ b/adopter/interfaces.go
@@ -44,3 +44,14 @@
 func (noPeers) Fetch(context.Context, string, fleet.Revision) (Document, error) {
 	return Document{}, nil
 }
+
+// Delegator decides which nodes read the source.
+type Delegator interface {
+	// Reads reports whether this node reads the source now.
+	Reads() bool
+}
+
+// alwaysReads has this node read the source at all times.
+type alwaysReads struct{}
+
+func (alwaysReads) Reads() bool { return true }
--- a/adopter/option.go
+++ b/adopter/option.go
@@ -1,6 +1,7 @@
 package adopter
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +18,8 @@
 	// successive changes are fetched in one call. It is a small part of the seconds in
 	// which a change has to be in force.
 	changePause = 400 * time.Millisecond
+	// delegationInterval is the time between two checks whether this node reads the source.
+	delegationInterval = 500 * time.Millisecond
 	// fetchTimeout is the time limit of a call to another node.
 	fetchTimeout = 400 * time.Millisecond
 	// fanout is the number of nodes that are queried at a time while the source fails:
@@ -40,6 +43,12 @@
 	return func(a *Adopter) { a.peers, a.members = peers, members }
 }
 
+// WithDelegator sets who decides whether this node reads the source. The function notify
+// is called after each change, one call at a time; it tells other nodes the revision.
+func WithDelegator(delegator Delegator, notify func(context.Context)) Option {
+	return func(a *Adopter) { a.delegator, a.notify = delegator, notify }
+}
+
 // WithRecorder sets the recorder of events.
 func WithRecorder(recorder Recorder) Option {
 	return func(a *Adopter) { a.recorder = recorder }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"cowsliptally.example/cowsliptally/checkpointer"
 	"cowsliptally.example/cowsliptally/configurator"
 	"cowsliptally.example/cowsliptally/deduplicator"
+	"cowsliptally.example/cowsliptally/delegator"
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/ejector"
 	"cowsliptally.example/cowsliptally/evaluator"
@@ -68,7 +69,9 @@
 	leaving atomic.Bool
 
 	// source holds the configuration when it does not come from the log service.
-	source     adopter.Source
+	source adopter.Source
+	// settle is the time after the start in which this node does not read the source.
+	settle     time.Duration
 	discover   func(context.Context) ([]string, error)
 	dialect    dispatcher.Dialect
 	allowance  func(nodes int) retrier.Allowance
@@ -154,8 +157,10 @@
 
 func (d *Daemon) buildConfiguration() {
 	if d.source != nil {
+		readers := delegator.New(d.self.ID, d.roster.Members, d.settle, delegator.WithClock(d.clock))
 		d.adopter = adopter.New(d.self.ID, d.source,
 			adopter.WithClock(d.clock),
+			adopter.WithDelegator(readers, func(ctx context.Context) { d.prober.Notify(ctx, readers.Targets()) }),
 			adopter.WithPeers(adopter.NewPeers(d.client), d.roster.Members),
 			adopter.WithRecorder(d.journal))
 		d.configurations = d.adopter
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
@@ -58,3 +59,9 @@
 func WithCallerMiddleware(wrap func(http.Handler) http.Handler) Option {
 	return func(d *Daemon) { d.wrapCaller = wrap }
 }
+
+// WithSettleTime sets the time after the start in which the node does not read the source
+// itself, so that it first learns which nodes do.
+func WithSettleTime(settle time.Duration) Option {
+	return func(d *Daemon) { d.settle = settle }
+}
--- /dev/null
+++ b/prober/configuration_test.go
@@ -0,0 +1,230 @@
+package prober_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/adopter"
+	"cowsliptally.example/cowsliptally/delegator"
+	"cowsliptally.example/cowsliptally/fleet"
+	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
+	"cowsliptally.example/cowsliptally/prober"
+)
+
+const (
+	// applyTime is the time in which a change has to be in force everywhere.
+	applyTime = 2 * time.Second
+	// longPoll is how long one read of the operator's store waits.
+	longPoll = 30 * time.Second
+)
+
+// operator is the store that holds the configuration.
+type operator struct {
+	mu       sync.Mutex
+	revision fleet.Revision
+	changed  chan struct{}
+	// blind holds the nodes whose reads get no answer.
+	blind map[fleet.NodeID]bool
+	calls int
+	nodes map[fleet.NodeID]*follower
+}
+
+// follower is a node that follows the operator's store; it is its prober's Progress.
+type follower struct {
+	operator  *operator
+	node      *node
+	adopter   *adopter.Adopter
+	delegator *delegator.Delegator
+}
+
+func (o *operator) add(n *node) *follower {
+	f := &follower{operator: o, node: n}
+	f.delegator = delegator.New(n.self.ID, n.roster.Members, 2*time.Second)
+	f.adopter = adopter.New(n.self.ID, f,
+		adopter.WithClock(pausable{Clock: clockwork.NewRealClock(), node: n}),
+		adopter.WithPeers(f, n.roster.Members),
+		adopter.WithDelegator(f.delegator, func(ctx context.Context) { n.prober.Notify(ctx, f.delegator.Targets()) }))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.nodes[n.self.ID] = f
+	return f
+}
+
+// write changes the configuration.
+func (o *operator) write() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.revision++
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// follower returns the follower on a node, or nil if the node was killed.
+func (o *operator) follower(id fleet.NodeID) *follower {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.nodes[id]
+}
+
+func (o *operator) remove(id fleet.NodeID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.nodes, id)
+}
+
+// current returns the newest revision and the number of calls so far.
+func (o *operator) current() (fleet.Revision, int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revision, o.calls
+}
+
+func (o *operator) setBlind(id fleet.NodeID, blind bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.blind[id] = blind
+}
+
+func (o *operator) state(id fleet.NodeID) (fleet.Revision, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.blind[id] {
+		return 0, nil
+	}
+	return o.revision, o.changed
+}
+
+// Next implements adopter.Source.
+func (f *follower) Next(ctx context.Context, known fleet.Revision) (adopter.Document, error) {
+	f.operator.mu.Lock()
+	f.operator.calls++
+	f.operator.mu.Unlock()
+	timeout := time.NewTimer(longPoll)
+	defer timeout.Stop()
+	for {
+		revision, changed := f.operator.state(f.node.self.ID)
+		if revision > known {
+			f.node.waitUntilThawed()
+			return adopter.Document{Revision: revision, Content: []byte("x")}, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return adopter.Document{}, nil
+		case <-ctx.Done():
+			return adopter.Document{}, ctx.Err()
+		}
+	}
+}
+
+func (f *follower) Decode(adopter.Document) (fleet.Configuration, error) {
+	return fleet.Configuration{}, nil
+}
+
+// Fetch implements adopter.Peers.
+func (f *follower) Fetch(ctx context.Context, address string, known fleet.Revision) (adopter.Document, error) {
+	time.Sleep(f.node.network.latency)
+	other := f.node.network.at(address)
+	if other == nil || !f.node.network.open(f.node.self.PeerAddress, address) {
+		return adopter.Document{}, errors.New("no answer")
+	}
+	answering := f.operator.follower(other.self.ID)
+	time.Sleep(f.node.network.latency)
+	if answering == nil {
+		return adopter.Document{}, errors.New("no answer")
+	}
+	document := answering.adopter.Document()
+	if document.Revision <= known {
+		return adopter.Document{}, ctx.Err()
+	}
+	return document, ctx.Err()
+}
+
+func (f *follower) Position() (fleet.Revision, uint64) { return f.adopter.Document().Revision, 0 }
+
+func (f *follower) RecordPeerProgress(from fleet.Member, revision fleet.Revision, _ uint64) {
+	f.adopter.RecordPeerRevision(from, revision)
+}
+
+func (f *follower) FetchState(context.Context, uint64) (*cowsliptallyv1.Checkpoint, error) {
+	return nil, nil
+}
+
+// TestChangesAreInForceInTimeWithFewReaders changes the configuration of a fleet of which a
+// few nodes read it: in calm, and at the moment at which many of the readers get no answer,
+// are killed or are paused.
+func TestChangesAreInForceInTimeWithFewReaders(t *testing.T) {
+	for _, count := range []int{5, 27, 120} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testChanges(t, count) })
+		})
+	}
+}
+
+func testChanges(t *testing.T, count int) {
+	is := is.New(t)
+	w := newNetwork()
+	o := &operator{changed: make(chan struct{}), blind: map[fleet.NodeID]bool{}, nodes: map[fleet.NodeID]*follower{}}
+	w.progress = func(n *node) prober.Progress { return o.add(n) }
+	ctx, cancel := context.WithCancel(context.Background())
+	nodes := w.fleetOf(count)
+	for _, f := range o.nodes {
+		go func() { _ = f.adopter.Run(ctx) }()
+	}
+	defer w.stopAll()
+	defer cancel()
+	time.Sleep(10 * time.Second)
+	o.write()
+	time.Sleep(20 * time.Second)
+	readers := min(count, delegator.DefaultReaders)
+	_, calls := o.current()
+	is.True(calls <= 4*readers) // also while the fleet forms
+	faults := map[string]func(n *node){
+		"calm":   func(*node) {},
+		"blind":  func(n *node) { o.setBlind(n.self.ID, true) },
+		"kill":   func(n *node) { o.remove(n.self.ID); w.kill(n) },
+		"freeze": func(n *node) { n.freeze() },
+	}
+	for _, kind := range []string{"calm", "blind", "freeze", "kill"} {
+		var failed []*node
+		for _, n := range nodes {
+			// Five in six of the readers fail.
+			if f := o.follower(n.self.ID); f != nil && f.delegator.Reads() && len(failed) < readers*5/6 {
+				failed = append(failed, n)
+			}
+		}
+		for _, n := range failed {
+			faults[kind](n)
+		}
+		o.write()
+		time.Sleep(applyTime)
+		newest, _ := o.current()
+		behind := 0
+		for _, n := range nodes {
+			f := o.follower(n.self.ID)
+			if f == nil || kind == "freeze" && slices.Contains(failed, n) {
+				continue
+			}
+			if f.adopter.Document().Revision != newest {
+				behind++
+			}
+		}
+		if behind > 0 {
+			t.Errorf("%s: %d of %d nodes are behind", kind, behind, count)
+		}
+		for _, n := range failed {
+			o.setBlind(n.self.ID, false)
+			n.thaw()
+		}
+		time.Sleep(40 * time.Second)
+	}
+}
--- a/prober/network_test.go
+++ b/prober/network_test.go
@@ -33,6 +33,8 @@
 	latency time.Duration
 	// watch is called for each event that a node's journal records.
 	watch func(at *node, event fleet.Event)
+	// progress returns the progress of a node; nil for none.
+	progress func(n *node) prober.Progress
 }
 
 // node is a simulated node of the fleet.
@@ -62,8 +64,14 @@
 	n.roster = roster.New(roster.WithClock(clock))
 	n.registrar = registrar.New(n.self.ID, "z", registrar.WithClock(clock), registrar.WithDirectory(n.roster))
 	seed := uint64(len(name)) + uint64(len(w.nodes))<<8
-	n.prober = prober.New(n.self, n.roster, link{from: n}, prober.WithClock(clock), prober.WithSeeds(seeds...),
-		prober.WithRandom(seed), prober.WithOwner(n.registrar), prober.WithJournal(n))
+	options := []prober.Option{
+		prober.WithClock(clock), prober.WithSeeds(seeds...),
+		prober.WithRandom(seed), prober.WithOwner(n.registrar), prober.WithJournal(n),
+	}
+	if w.progress != nil {
+		options = append(options, prober.WithProgress(w.progress(n)))
+	}
+	n.prober = prober.New(n.self, n.roster, link{from: n}, options...)
 	n.registrar.Watch(n.prober)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = func() { cancel(); <-n.done }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -1,6 +1,9 @@
 package selector
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -35,6 +38,24 @@
 	return rank
 }
 
+// First returns the nodes with the first ranks for a task, in order, at most count.
+func (s *Selector) First(count int, task string) []fleet.NodeID {
+	type ranked struct {
+		node  fleet.NodeID
+		score uint64
+	}
+	all := make([]ranked, len(s.nodes))
+	for i, node := range s.nodes {
+		all[i] = ranked{node, score(node, task)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	first := make([]fleet.NodeID, min(count, len(all)))
+	for i := range first {
+		first[i] = all[i].node
+	}
+	return first
+}
+
 func score(node fleet.NodeID, task string) uint64 {
 	return xxhash.Sum64String(task + "\x00" + string(node))
 }
