Offer attempts that must run once before they are sent

And bodies went to owners without a free slot, mostly across zones. Weighed: TCP's count of unacknowledged bytes (an acknowledgement can be lost, so it proves nothing), Expect: 100-continue (net/http closes the connection after each refusal), a question to silent owners only (each pair of nodes talks too seldom to know). Now the owner first reserves a slot for 500 ms; an offer without an answer proves that the request has not run. Old nodes do not know the path and get the request at once.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -107,6 +107,7 @@
 func (d *Daemon) peerRouter() http.Handler {
 	router := chi.NewRouter()
 	router.Handle(dispatcher.PathPrefix+"/*", d.dispatcher)
+	router.HandleFunc(dispatcher.OfferPath, d.dispatcher.ServeOffer)
 	mount(router)(cowsliptallyv1connect.NewBackendServiceHandler(d.registrar))
 	mount(router)(cowsliptallyv1connect.NewRequestServiceHandler(d.dispatcher))
 	mount(router)(recorder.NewHandler(d.journal, d))
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -97,9 +97,12 @@
 // admit gets a slot for the attempt and counts it as dispatched, or returns the reason for
 // its refusal.
 func (a *attempt) admit(ctx context.Context) (admitter.ID, fleet.Outcome) {
-	id, reason := a.gate.enter(ctx, a.call)
-	if reason != "" {
-		return id, refused(reason)
+	id, claimed := a.claim()
+	if !claimed {
+		var reason fleet.Reason
+		if id, reason = a.gate.enter(ctx, a.call); reason != "" {
+			return id, refused(reason)
+		}
 	}
 	outcome := a.begin(ctx)
 	if outcome.Reason != "" {
@@ -122,19 +125,10 @@
 // begin repeats the checks whose result may have changed while the attempt waited, then
 // counts it as dispatched.
 func (a *attempt) begin(ctx context.Context) fleet.Outcome {
-	if ctx.Err() != nil {
-		return refused(fleet.ContextReason(ctx))
-	}
-	if _, reason := a.dispatcher.available(a.call); reason != "" {
+	if reason := a.stillAccepted(ctx); reason != "" {
 		return refused(reason)
 	}
-	if reason := a.dispatcher.suspectReason(a.call); reason != "" {
-		return refused(reason)
-	}
-	if a.gate.rejects(a.call) {
-		return refused(fleet.ReasonFailing)
-	}
-	if a.call.retryCost > 0 && !a.dispatcher.retryBudget.ChargeRetry(a.backend.Service, a.call.retryCost) {
+	if !a.chargeRetry() {
 		return refused(fleet.ReasonBudget)
 	}
 	switch a.dispatcher.sealer.Begin(a.call.sealerAttempt()) {
@@ -149,6 +143,29 @@
 	}
 }
 
+// stillAccepted returns the reason for which the attempt must not be dispatched any more.
+func (a *attempt) stillAccepted(ctx context.Context) fleet.Reason {
+	if ctx.Err() != nil {
+		return fleet.ContextReason(ctx)
+	}
+	if _, reason := a.dispatcher.available(a.call); reason != "" {
+		return reason
+	}
+	if reason := a.dispatcher.suspectReason(a.call); reason != "" {
+		return reason
+	}
+	if a.gate.rejects(a.call) {
+		return fleet.ReasonFailing
+	}
+	return ""
+}
+
+// chargeRetry charges the attempt to the retry budget, if it is a retry that its ingress
+// could not charge, and reports whether the budget covers it.
+func (a *attempt) chargeRetry() bool {
+	return a.call.retryCost == 0 || a.dispatcher.retryBudget.ChargeRetry(a.backend.Service, a.call.retryCost)
+}
+
 // run sends the request to the backend server and buffers its answer up to the bound.
 func (a *attempt) run(ctx context.Context) *result {
 	exchange, err := a.dispatcher.pooler.Send(ctx, pooler.Message{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/pooler"
 	"cowsliptally.example/cowsliptally/quarantiner"
+	"cowsliptally.example/cowsliptally/reserver"
 	"cowsliptally.example/cowsliptally/sealer"
 )
 
@@ -53,6 +54,8 @@
 	estimates       bool
 	drainer         *drainer.Drainer
 	usage           *admitter.Usage
+	// reservations holds the slots of offered attempts.
+	reservations *reserver.Reserver[attemptKey, reservation]
 
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
@@ -102,6 +105,7 @@
 	if d.memory == nil {
 		d.memory = accountant.New(DefaultMemory)
 	}
+	d.reservations = reserver.New[attemptKey](d.clock, reservationTime, reservation.release)
 	d.bodies = collector.New(d.memory, d.bodyBound)
 	d.answers = collector.New(d.memory.Share(d.memory.Bound()/memoryShares), d.answerBound)
 }
@@ -167,16 +171,11 @@
 		d.refuse(w, c, refused(fleet.ReasonTicket), "the ticket is too old")
 		return
 	}
-	backend, reason := d.available(c)
+	backend, g, reason := d.accepts(c)
 	if reason != "" {
 		d.refuse(w, c, refused(reason), "the backend server takes no work")
 		return
 	}
-	g := d.gate(backend)
-	if g.rejects(c) {
-		d.refuse(w, c, refused(fleet.ReasonFailing), "the backend server failed requests of late")
-		return
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	content, err := d.bodies.Collect(r.Body, r.ContentLength)
@@ -189,6 +188,20 @@
 	a.serve(ctx, w)
 }
 
+// accepts returns the backend server of a call and its gate, or the reason why the call is
+// refused at once.
+func (d *Dispatcher) accepts(c call) (fleet.Backend, *gate, fleet.Reason) {
+	backend, reason := d.available(c)
+	if reason != "" {
+		return backend, nil, reason
+	}
+	g := d.gate(backend)
+	if g.rejects(c) {
+		return backend, g, fleet.ReasonFailing
+	}
+	return backend, g, ""
+}
+
 // available returns the backend server of a call, or the reason why it accepts no
 // requests. In that case all attempts that wait for it are refused as well.
 func (d *Dispatcher) available(c call) (fleet.Backend, fleet.Reason) {
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -40,14 +40,20 @@
 	}
 }
 
-// enter waits for a slot. It returns a reason if the attempt gets none.
+// enter waits for a slot and occupies it. It returns a reason if the attempt gets none.
 func (g *gate) enter(ctx context.Context, c call) (admitter.ID, fleet.Reason) {
+	id, reason := g.wait(ctx, c)
+	if reason == "" {
+		g.occupy(id, c.identity)
+	}
+	return id, reason
+}
+
+// wait waits for a slot. It returns a reason if the attempt gets none.
+func (g *gate) wait(ctx context.Context, c call) (admitter.ID, fleet.Reason) {
 	id, decided := g.arrive(c)
 	select {
 	case decision := <-decided:
-		if decision.Action == admitter.Run {
-			g.occupy(id, c.identity)
-		}
 		return id, decision.Reason
 	case <-ctx.Done():
 	}
--- /dev/null
+++ b/dispatcher/offer.go
@@ -0,0 +1,98 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// OfferPath is the path at which an owner is offered an attempt before it is sent.
+const OfferPath = "/offer"
+
+// reservationTime is how long a slot stays reserved for an attempt that was accepted: many
+// times the round trip between nodes, also if one of them pauses for a moment.
+const reservationTime = 500 * time.Millisecond
+
+// attemptKey identifies an attempt.
+type attemptKey struct {
+	request fleet.RequestID
+	backend fleet.BackendID
+	attempt int
+}
+
+// reservation is a slot that is reserved for an attempt.
+type reservation struct {
+	gate *gate
+	id   admitter.ID
+	kind fleet.RequestKind
+}
+
+// release frees the slot.
+func (r reservation) release() { r.gate.leave(r.id, r.kind, 0) }
+
+// key returns the key of a call's attempt.
+func (c call) key() attemptKey {
+	return attemptKey{request: c.request, backend: c.backend, attempt: c.attempt}
+}
+
+// ServeOffer answers an ingress that offers an attempt. It waits for a slot as the attempt
+// itself would, and reserves it. Nothing runs before the attempt is sent, so an ingress that
+// gets no answer may go to another owner.
+func (d *Dispatcher) ServeOffer(w http.ResponseWriter, r *http.Request) {
+	c, err := parseCall(r.Header, d.clock.Now())
+	if err != nil {
+		d.refuse(w, c, refused(fleet.ReasonBadRequest), err.Error())
+		return
+	}
+	if !d.drainer.Enter() {
+		d.refuse(w, c, refused(fleet.ReasonDraining), "the node shuts down")
+		return
+	}
+	defer d.drainer.Leave()
+	backend, g, reason := d.accepts(c)
+	if reason != "" {
+		d.refuse(w, c, refused(reason), "the backend server takes no work")
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	beats := startHeartbeat(w, d.clock, d.heartbeat)
+	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r}
+	reason = a.reserve(ctx)
+	beats.stop()
+	d.refuse(w, c, refused(reason), "the attempt was only offered")
+}
+
+// reserve reserves a slot and returns ReasonOffered, or the reason why there is none.
+func (a *attempt) reserve(ctx context.Context) fleet.Reason {
+	id, reason := a.gate.wait(ctx, a.call)
+	if reason != "" {
+		return reason
+	}
+	held := reservation{gate: a.gate, id: id, kind: a.call.kind}
+	reason = a.stillAccepted(ctx)
+	if reason == "" && !a.chargeRetry() {
+		reason = fleet.ReasonBudget
+	}
+	if reason != "" {
+		held.release()
+		return reason
+	}
+	a.dispatcher.reservations.Reserve(a.call.key(), held)
+	return fleet.ReasonOffered
+}
+
+// claim takes the slot that is reserved for the attempt, if there is one. Its retry was
+// charged with the reservation.
+func (a *attempt) claim() (admitter.ID, bool) {
+	held, found := a.dispatcher.reservations.Claim(a.call.key())
+	if !found {
+		return 0, false
+	}
+	a.call.retryCost = 0
+	held.gate.occupy(held.id, a.call.identity)
+	return held.id, true
+}
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -62,6 +62,10 @@
 	ReasonSuspect Reason = "suspect"
 )
 
+// ReasonOffered is the answer of an owner that reserved a slot for an offered attempt. It is
+// no reason for a refusal and never reaches a caller.
+const ReasonOffered Reason = "offered"
+
 // Reasons returns all reasons.
 func Reasons() []Reason {
 	return []Reason{
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,11 +36,8 @@
 	start := f.clock.Now()
 	var r *result
 	defer func() { f.endAttempt(backend, r) }()
-	for range maxTickets {
-		r = f.send(ctx, s, backend, owner, number, mode)
-		if r.outcome.Reason != fleet.ReasonTicket {
-			break
-		}
+	if r = f.offer(ctx, s, backend, owner, number, mode); r == nil {
+		r = f.sendWithTicket(ctx, s, backend, owner, number, mode)
 	}
 	r.noWaitRefused = mode == noWait && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
 	r.took = f.clock.Since(start)
@@ -63,6 +60,18 @@
 	}
 }
 
+// sendWithTicket sends a submission, again if the owner refused its ticket.
+func (f *Forwarder) sendWithTicket(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, mode attemptMode) *result {
+	var r *result
+	for range maxTickets {
+		r = f.send(ctx, s, backend, owner, number, mode)
+		if r.outcome.Reason != fleet.ReasonTicket {
+			break
+		}
+	}
+	return r
+}
+
 func (f *Forwarder) send(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, mode attemptMode) *result {
 	if ctx.Err() != nil {
 		return refused(fleet.ContextReason(ctx), "the time limit passed before the request was sent")
@@ -112,23 +121,8 @@
 	if _, found := r.Header["User-Agent"]; !found {
 		r.Header["User-Agent"] = nil
 	}
-	remaining := s.deadline.Sub(f.clock.Now())
-	r.Header.Set(fleet.HeaderRequestID, string(s.id))
-	r.Header.Set(fleet.HeaderBackend, string(backend.ID))
-	r.Header.Set(fleet.HeaderAttempt, strconv.Itoa(number))
-	r.Header.Set(fleet.HeaderKind, string(s.kind))
-	r.Header.Set(fleet.HeaderWeight, strconv.Itoa(s.weight))
-	r.Header.Set(fleet.HeaderIdempotent, strconv.FormatBool(s.idempotent))
-	r.Header.Set(fleet.HeaderIdentity, s.identity)
+	f.describe(r.Header, s, backend, number)
 	r.Header.Set(fleet.HeaderTicket, ticket)
-	r.Header.Set(fleet.HeaderTrial, strconv.FormatBool(s.trialNode != ""))
-	r.Header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	if !s.target.IsZero() {
-		r.Header.Set(fleet.HeaderTarget, strconv.FormatInt(s.target.Sub(f.clock.Now()).Milliseconds(), 10))
-	}
-	if s.retryCost > 0 {
-		r.Header.Set(fleet.HeaderRetryCost, strconv.FormatFloat(s.retryCost, 'f', -1, 64))
-	}
 	r.RequestURI = ""
 	r.URL.Scheme = "http"
 	r.URL.Host = owner.PeerAddress
@@ -139,6 +133,26 @@
 	return r
 }
 
+// describe sets the headers that describe an attempt to its owner.
+func (f *Forwarder) describe(header http.Header, s *submission, backend fleet.Backend, number int) {
+	now := f.clock.Now()
+	header.Set(fleet.HeaderRequestID, string(s.id))
+	header.Set(fleet.HeaderBackend, string(backend.ID))
+	header.Set(fleet.HeaderAttempt, strconv.Itoa(number))
+	header.Set(fleet.HeaderKind, string(s.kind))
+	header.Set(fleet.HeaderWeight, strconv.Itoa(s.weight))
+	header.Set(fleet.HeaderIdempotent, strconv.FormatBool(s.idempotent))
+	header.Set(fleet.HeaderIdentity, s.identity)
+	header.Set(fleet.HeaderTrial, strconv.FormatBool(s.trialNode != ""))
+	header.Set(fleet.HeaderTimeout, strconv.FormatInt(max(1, s.deadline.Sub(now).Milliseconds()), 10))
+	if !s.target.IsZero() {
+		header.Set(fleet.HeaderTarget, strconv.FormatInt(s.target.Sub(now).Milliseconds(), 10))
+	}
+	if s.retryCost > 0 {
+		header.Set(fleet.HeaderRetryCost, strconv.FormatFloat(s.retryCost, 'f', -1, 64))
+	}
+}
+
 // unanswered returns the result of an attempt whose exchange ended without an answer.
 // It requests the owner, over a fresh connection, to seal the attempt.
 func (f *Forwarder) unanswered(ctx context.Context, s *submission, owner fleet.Member, number int, ticket string, exchange *pooler.Exchange, err error) *result {
--- /dev/null
+++ b/forwarder/offer.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pooler"
+)
+
+// offer has the owner reserve a slot for an attempt before the request is sent to it. It
+// returns nil if the request is to be sent, else why not. A request that must run once would
+// be lost at an owner that died or fell silent, while one that was only offered is proved
+// not to have run and can go to another owner. Bodies are not sent to owners without a slot.
+func (f *Forwarder) offer(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, mode attemptMode) *result {
+	if !f.offers(s, owner) {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return refused(fleet.ContextReason(ctx), "the time limit passed before the attempt was offered")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+owner.PeerAddress+dispatcher.OfferPath, nil)
+	if err != nil {
+		return refused(fleet.ReasonConnect, err.Error())
+	}
+	request.Header["User-Agent"] = nil
+	f.describe(request.Header, s, backend, number)
+	mode.setHeader(request.Header)
+	exchange, err := f.pooler.Send(ctx, pooler.Message{
+		Address: owner.PeerAddress,
+		Request: request,
+		OnStall: func(int, bool) bool { return true },
+	})
+	if err != nil {
+		return f.unansweredOffer(ctx, owner, err)
+	}
+	f.markReachable(owner)
+	return f.receivedOffer(s, backend, exchange)
+}
+
+// offers reports whether an attempt is offered before it is sent. Large bodies would keep
+// the reserved slot empty while they are transferred.
+func (f *Forwarder) offers(s *submission, owner fleet.Member) bool {
+	return !s.idempotent && s.trialNode == "" && owner.ID != f.node && len(s.content.Bytes()) <= maxNoWaitBody
+}
+
+// unansweredOffer returns the result of an offer without an answer. The request was not sent.
+func (f *Forwarder) unansweredOffer(ctx context.Context, owner fleet.Member, err error) *result {
+	reason := failureReason(ctx, err)
+	if ctx.Err() == nil {
+		f.backOff(owner, err.Error())
+	}
+	if reason == fleet.ReasonStalled {
+		f.pooler.Renew(owner.PeerAddress)
+		f.recorder.Record(fleet.NewEvent(fleet.EventStalled, string(owner.ID), string(reason)))
+	}
+	r := refused(reason, err.Error())
+	r.notAttributed = true
+	return r
+}
+
+// receivedOffer returns nil if the owner reserved a slot, or does not know offers. Otherwise
+// it returns the owner's refusal.
+func (f *Forwarder) receivedOffer(s *submission, backend fleet.Backend, exchange *pooler.Exchange) *result {
+	header := exchange.Response.Header
+	if exchange.Response.StatusCode == http.StatusNotFound && header.Get(fleet.HeaderRequestID) == "" {
+		drain(exchange.Response.Body)
+		exchange.Close()
+		return nil
+	}
+	f.tickets.put(backend.Owner, header.Get(fleet.HeaderTicket))
+	if header.Get(fleet.HeaderRequestID) != string(s.id) {
+		exchange.Close()
+		return refused(fleet.ReasonBroken, "the owner answered another offer")
+	}
+	f.report(backend, header)
+	if fleet.Reason(header.Get(fleet.HeaderReason)) == fleet.ReasonOffered {
+		drain(exchange.Response.Body)
+		exchange.Close()
+		return nil
+	}
+	f.recordSuspect(s, header)
+	r := f.refusedByOwner(exchange, fleet.Executed(header.Get(fleet.HeaderExecuted)))
+	r.outcome.Executed = fleet.ExecutedNo
+	return r
+}
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -58,6 +58,7 @@
 func (r *rig) join(name fleet.NodeID, d *dispatcher.Dispatcher) *httptest.Server {
 	router := chi.NewRouter()
 	router.Handle(dispatcher.PathPrefix+"/*", d)
+	router.HandleFunc(dispatcher.OfferPath, d.ServeOffer)
 	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(d))
 	peer := httptest.NewServer(router)
 	r.t.Cleanup(peer.Close)
