Queue one request a slot, and refuse at once what cannot be served in time

Cause: four requests a slot waited at an owner, 1.2 s of waiting at 0.29 s of work, longer than the route's time. TestServesMostValuableFirst now sets the queue that it needs.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -8,7 +8,9 @@
 package admitter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -24,6 +26,9 @@
 	minUnusedShare = 1e-3
 	// lateFactor scales the value of a request that cannot meet its target.
 	lateFactor = 0.3
+	// optimism scales the predicted wait, so that requests that may still be served are kept
+	// although service times vary.
+	optimism = 0.8
 	// maxKinds bounds the request kinds whose service time is estimated.
 	maxKinds = 64
 )
@@ -74,6 +79,7 @@
 		return append(decisions, refusal(r.ID, fleet.ReasonBusy))
 	}
 	a.waiting = append(a.waiting, r)
+	decisions = append(decisions, a.expire(now)...)
 	decisions = append(decisions, a.shed(now)...)
 	for _, d := range decisions {
 		if d.ID == r.ID {
@@ -201,21 +207,52 @@
 	return best, worst
 }
 
-// expire refuses waiting requests whose deadline leaves no time to run them.
+// expire refuses waiting requests whose deadline leaves no time to run them once those
+// before them have run. Their callers can still go elsewhere.
 func (a *Admitter) expire(now time.Time) []Decision {
-	var decisions []Decision
-	kept := a.waiting[:0]
-	for _, r := range a.waiting {
-		if now.Add(a.Expected(r.Kind)).Before(r.Deadline) {
-			kept = append(kept, r)
+	order := a.order(now)
+	hopeless := make(map[ID]bool)
+	ahead := 0
+	for _, i := range order {
+		r := a.waiting[i]
+		if now.Add(a.wait(ahead) + a.Expected(r.Kind)).Before(r.Deadline) {
+			ahead++
 			continue
 		}
-		decisions = append(decisions, refusal(r.ID, fleet.ReasonDeadline))
+		hopeless[r.ID] = true
+	}
+	if len(hopeless) == 0 {
+		return nil
 	}
-	a.waiting = kept
+	var decisions []Decision
+	a.waiting = slices.DeleteFunc(a.waiting, func(r Request) bool {
+		if hopeless[r.ID] {
+			decisions = append(decisions, refusal(r.ID, fleet.ReasonDeadline))
+		}
+		return hopeless[r.ID]
+	})
 	return decisions
 }
 
+// wait returns the least time until a slot is free for a request with so many before it.
+func (a *Admitter) wait(ahead int) time.Duration {
+	if a.slots < 1 || len(a.running) < a.slots {
+		return 0
+	}
+	return time.Duration(optimism * float64(a.mean) * float64(ahead) / float64(a.slots))
+}
+
+// order returns the indexes of the waiting requests by falling value, equals by arrival.
+func (a *Admitter) order(now time.Time) []int {
+	order := make([]int, len(a.waiting))
+	values := make([]float64, len(a.waiting))
+	for i, r := range a.waiting {
+		order[i], values[i] = i, a.value(r, now)
+	}
+	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(values[y], values[x]) })
+	return order
+}
+
 // value is the value of a request for each second of a slot. The recent use of its
 // organisation lowers it, and so does a target that cannot be met any more: under lasting
 // overload requests that can meet theirs go first, so that not all are late.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -120,7 +120,7 @@
 }
 
 func TestServesMostValuableFirst(t *testing.T) {
-	a := admitter.New(1)
+	a := admitter.New(1, admitter.WithQueue(4))
 	now := time.Unix(0, 0)
 	deadline := now.Add(time.Minute)
 	a.Arrive(admitter.Request{ID: 1, Weight: 1, Deadline: deadline}, now)
--- a/admitter/option.go
+++ b/admitter/option.go
@@ -1,7 +1,7 @@
 package admitter
 
 // DefaultQueueFactor is the default queue length for each slot.
-const DefaultQueueFactor = 4
+const DefaultQueueFactor = 1
 
 // Option changes a setting of an Admitter.
 type Option func(*Admitter)
