Count the time limit of a pipelined request from its arrival

Cause: a request that waited behind another on its connection got its whole time limit when its turn came, so its backend server was handed more time than its caller had left, and it was queued although its target had passed. The acceptor now tells when the bytes of a request arrived. Ruled out: the time of net/http's parser, which is that of the turn. After: acceptor.TestArrivalIsThatOfTheBytes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -70,7 +70,21 @@
 	if !ok {
 		return ctx
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, connKey{}, accepted))
 	accepted.setCancel(cancel)
 	return ctx
 }
+
+// connKey is the key of the connection in a context.
+type connKey struct{}
+
+// Arrival returns when a request arrived, given its context at the start of its handler: a
+// pipelined request may have waited for those before it. It returns false for a request
+// that did not come over an acceptor's connection.
+func Arrival(ctx context.Context) (time.Time, bool) {
+	accepted, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return time.Time{}, false
+	}
+	return accepted.lastArrival(), true
+}
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -226,3 +226,31 @@
 	is.NoErr(a.Wait(context.Background()))
 	is.Equal(served.Load(), int32(1))
 }
+
+// TestArrivalIsThatOfTheBytes pipelines three requests, of which the second and third wait
+// while the first runs. Each must be told when it came, not when its turn came.
+func TestArrivalIsThatOfTheBytes(t *testing.T) {
+	is := is.New(t)
+	const work = 150 * time.Millisecond
+	type served struct{ arrived, began time.Time }
+	all := make(chan served, 4)
+	address, _, _ := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		arrived, found := acceptor.Arrival(r.Context())
+		if !found {
+			panic("no arrival")
+		}
+		all <- served{arrived, time.Now()}
+		time.Sleep(work)
+	})
+	c := dial(t, address)
+	for i := range 3 {
+		_, err := io.WriteString(c, request(i))
+		is.NoErr(err)
+		time.Sleep(work / 10)
+	}
+	first, second, third := <-all, <-all, <-all
+	is.True(first.arrived.Before(second.arrived) && second.arrived.Before(third.arrived))
+	is.True(third.arrived.Before(second.began)) // it came while the first was running
+	_, found := acceptor.Arrival(context.Background())
+	is.True(!found)
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,8 +25,11 @@
 	mu sync.Mutex
 	// deadline is the read deadline set by net/http.
 	deadline time.Time
-	// ahead holds the bytes that were read ahead.
-	ahead []byte
+	// ahead holds the bytes that were read ahead, and aheadBytes counts them.
+	ahead      []chunk
+	aheadBytes int
+	// arrival is when the newest bytes that Read returned to a request's parser arrived.
+	arrival time.Time
 	// err is the error that ended reading ahead; it is returned after the bytes.
 	err error
 	// reading is closed when reading ahead ends; nil when it is not under way.
@@ -34,6 +38,12 @@
 	closed  bool
 }
 
+// chunk holds bytes that arrived at a time.
+type chunk struct {
+	content []byte
+	at      time.Time
+}
+
 func (c *conn) setCancel(cancel context.CancelFunc) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -45,43 +55,65 @@
 	c.inRead.Lock()
 	defer c.inRead.Unlock()
 	c.stopReadingAhead()
-	n, err, found := c.takeAhead(b)
+	n, at, err, found := c.takeAhead(b)
 	if !found {
 		n, err = c.Conn.Read(b)
+		at = time.Now()
 		c.noteEnd(err)
 	}
 	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
-	if len(b) == 1 && n == 1 && err == nil {
+	switch {
+	case len(b) == 1 && n == 1 && err == nil:
 		c.startReadingAhead()
+	case n > 0:
+		c.setArrival(at)
 	}
 	return n, err
 }
 
+func (c *conn) setArrival(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrival = at
+}
+
+// lastArrival returns when the newest bytes arrived that a request's parser has read.
+func (c *conn) lastArrival() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrival
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closed
 }
 
-// takeAhead returns what was read ahead, or found false if nothing is left of it.
-func (c *conn) takeAhead(b []byte) (n int, err error, found bool) {
+// takeAhead returns bytes that were read ahead and when they arrived, or found false if
+// nothing is left of them.
+func (c *conn) takeAhead(b []byte) (n int, at time.Time, err error, found bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ahead) > 0 {
-		n = copy(b, c.ahead)
-		c.ahead = c.ahead[n:]
-		return n, nil, true
+	if len(c.ahead) == 0 {
+		return 0, time.Time{}, c.err, c.err != nil
+	}
+	first := &c.ahead[0]
+	n, at = copy(b, first.content), first.at
+	first.content = first.content[n:]
+	c.aheadBytes -= n
+	if len(first.content) == 0 {
+		c.ahead = c.ahead[1:]
 	}
-	c.ahead = nil
-	return 0, c.err, c.err != nil
+	return n, at, nil, true
 }
 
 func (c *conn) startReadingAhead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.err != nil || len(c.ahead) >= c.acceptor.readAhead {
+	if c.closed || c.err != nil || c.aheadBytes >= c.acceptor.readAhead {
 		return
 	}
 	c.reading = make(chan struct{})
@@ -112,7 +144,10 @@
 	for {
 		n, err := c.Conn.Read(part[:min(len(part), c.room())])
 		c.mu.Lock()
-		c.ahead = append(c.ahead, part[:n]...)
+		if n > 0 {
+			c.ahead = append(c.ahead, chunk{content: slices.Clone(part[:n]), at: time.Now()})
+			c.aheadBytes += n
+		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.err = err
 		}
@@ -131,7 +166,7 @@
 func (c *conn) room() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(0, c.acceptor.readAhead-len(c.ahead))
+	return max(0, c.acceptor.readAhead-c.aheadBytes)
 }
 
 // noteEnd ends the context of the connection's requests if the connection ended.
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -60,12 +60,11 @@
 	// ReasonSuspect means that the request was in a slot of a backend server that
 	// crashed, and that its trial request has not ended.
 	ReasonSuspect Reason = "suspect"
+	// ReasonOffered is the answer of an owner that reserved a slot for an offered attempt. It
+	// is no refusal and never reaches a caller.
+	ReasonOffered Reason = "offered"
 )
 
-// ReasonOffered is the answer of an owner that reserved a slot for an offered attempt. It is
-// no reason for a refusal and never reaches a caller.
-const ReasonOffered Reason = "offered"
-
 // Reasons returns all reasons.
 func Reasons() []Reason {
 	return []Reason{
@@ -73,6 +72,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonDeduplicator,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonStalled,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
-		ReasonTicket, ReasonSuspect, ReasonOwnersLost, ReasonFailing,
+		ReasonTicket, ReasonSuspect, ReasonOwnersLost, ReasonFailing, ReasonOffered,
 	}
 }
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"cowsliptally.example/cowsliptally/acceptor"
 	"cowsliptally.example/cowsliptally/collector"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/matcher"
@@ -76,7 +77,7 @@
 	if r.Method == http.MethodConnect || header.Get("Upgrade") != "" {
 		return s, fleet.ReasonBadRequest, fmt.Errorf("method CONNECT and protocol upgrades are not served")
 	}
-	s.started, s.revision = f.clock.Now(), f.configurations.Configuration().Revision()
+	s.started, s.revision = f.arrival(r), f.configurations.Configuration().Revision()
 	route, err := f.route(r)
 	if err != nil {
 		return s, fleet.ReasonNoRoute, err
@@ -92,14 +93,23 @@
 	if err != nil {
 		return s, fleet.ReasonBadRequest, err
 	}
-	now := f.clock.Now()
-	s.deadline = now.Add(timeout)
+	s.deadline = s.started.Add(timeout)
 	if route.Target > 0 {
-		s.target = now.Add(route.Target)
+		s.target = s.started.Add(route.Target)
 	}
 	return s, "", nil
 }
 
+// arrival returns when a request arrived. A pipelined request has waited for those before
+// it, and its time limit counts from its arrival.
+func (f *Forwarder) arrival(r *http.Request) time.Time {
+	now := f.clock.Now()
+	if arrived, found := acceptor.Arrival(r.Context()); found && arrived.Before(now) {
+		return arrived
+	}
+	return now
+}
+
 // route returns the route of a request. A service named in the header takes precedence
 // over the routes and their splits; its own routes still set the kind and weight.
 func (f *Forwarder) route(r *http.Request) (fleet.Route, error) {
