Begin pipelined requests side by side where they may run twice

Weighed: one after the other (simple, late), a server of our own for HTTP/1.1 (a second parser decides what is a request), beginning heads from the bytes read ahead while net/http still reads and orders everything (chosen). A request is begun only if net/http's buffer is proved empty: reads stop at the end of each head, and a connection with a bare line feed is left alone, as a request could be smuggled there. At most 8 are begun a connection, 64 KiB of each answer are buffered. A leaving node begins none, and closes with the last that it began.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -82,9 +82,32 @@
 // pipelined request may have waited for those before it. It returns false for a request
 // that did not come over an acceptor's connection.
 func Arrival(ctx context.Context) (time.Time, bool) {
+	if arrived, found := ctx.Value(arrivalKey{}).(time.Time); found {
+		return arrived, true
+	}
 	accepted, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return time.Time{}, false
 	}
 	return accepted.lastArrival(), true
 }
+
+// arrivalKey is the key of a request's own arrival in a context.
+type arrivalKey struct{}
+
+// WithArrival returns the context of a request that arrived at a time.
+func WithArrival(ctx context.Context, arrived time.Time) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, arrived)
+}
+
+// Watch calls notify with the bytes of pipelined requests that have arrived behind the one
+// with this context, now and whenever there are more, until stop. They begin with the first
+// byte of the next request, which the server has yet to read itself. The request must have no
+// body. Nothing is watched on other connections, or where the end of the request is in doubt.
+func Watch(ctx context.Context, notify func([]byte)) (stop func()) {
+	accepted, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	return accepted.watch(notify)
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -28,6 +29,17 @@
 	// ahead holds the bytes that were read ahead, and aheadBytes counts them.
 	ahead      []chunk
 	aheadBytes int
+	// tail holds the last bytes that Read returned, up to three.
+	tail []byte
+	// peeked holds the byte that net/http read while a request is served, if any.
+	peeked []byte
+	// ambiguous is set once a line ended without a carriage return. net/http accepts that, so
+	// a request may then end where Read did not stop.
+	ambiguous bool
+	// notify is called with the bytes of later requests; nil unless they are watched.
+	notify func([]byte)
+	// notifying is held during a call of notify.
+	notifying sync.Mutex
 	// arrival is when the newest bytes that Read returned to a request's parser arrived.
 	arrival time.Time
 	// err is the error that ended reading ahead; it is returned after the bytes.
@@ -64,19 +76,98 @@
 	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
-	switch {
-	case len(b) == 1 && n == 1 && err == nil:
+	n = c.stopAtHead(b[:n], at, len(b) == 1)
+	if len(b) == 1 && n == 1 && err == nil {
 		c.startReadingAhead()
-	case n > 0:
-		c.setArrival(at)
+		c.notifyAhead()
 	}
 	return n, err
 }
 
-func (c *conn) setArrival(at time.Time) {
+// headEnd ends the head of a request.
+const headEnd = "\r\n\r\n"
+
+// stopAtHead returns how many of the bytes Read returns: none after the end of a head, so
+// that no byte of a later request is in net/http's buffer while a request without a body is
+// served. The others are kept for the next Read. It records when the bytes arrived, unless
+// they are a byte that net/http read ahead.
+func (c *conn) stopAtHead(b []byte, at time.Time, peeked bool) int {
+	if len(b) == 0 {
+		return 0
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	seam := append(slices.Clone(c.tail), b[:min(len(b), len(headEnd)-1)]...)
+	n := len(b)
+	if i := bytes.Index(seam, []byte(headEnd)); i >= 0 {
+		n = i + len(headEnd) - len(c.tail)
+	} else if i := bytes.Index(b, []byte(headEnd)); i >= 0 {
+		n = i + len(headEnd)
+	}
+	if n < len(b) {
+		c.ahead = slices.Insert(c.ahead, 0, chunk{content: slices.Clone(b[n:]), at: at})
+		c.aheadBytes += len(b) - n
+	}
+	c.ambiguous = c.ambiguous || bareNewline(seam) || bareNewline(b[:n])
+	c.tail = append(c.tail, b[max(0, n-len(headEnd)+1):n]...)
+	c.tail = c.tail[max(0, len(c.tail)-len(headEnd)+1):]
+	if c.peeked = nil; peeked {
+		c.peeked = slices.Clone(b[:n])
+		return n
+	}
 	c.arrival = at
+	return n
+}
+
+// bareNewline reports whether a line feed other than the first byte follows no carriage
+// return.
+func bareNewline(b []byte) bool {
+	for from := 1; from < len(b); {
+		i := bytes.IndexByte(b[from:], '\n')
+		if i < 0 {
+			return false
+		}
+		if b[from+i-1] != '\r' {
+			return true
+		}
+		from += i + 1
+	}
+	return false
+}
+
+// watch calls notify with the bytes of later requests that have arrived, now and whenever
+// there are more, until stop. The first byte begins a request.
+func (c *conn) watch(notify func([]byte)) (stop func()) {
+	c.mu.Lock()
+	c.notify = notify
+	c.mu.Unlock()
+	c.notifyAhead()
+	return func() {
+		c.mu.Lock()
+		c.notify = nil
+		c.mu.Unlock()
+		c.notifying.Lock() // waits for a call that is under way
+		defer c.notifying.Unlock()
+	}
+}
+
+// notifyAhead notifies the watcher of the bytes that have arrived.
+func (c *conn) notifyAhead() {
+	c.notifying.Lock()
+	defer c.notifying.Unlock()
+	c.mu.Lock()
+	notify := c.notify
+	var pending []byte
+	if notify != nil && len(c.peeked) > 0 && !c.ambiguous && c.err == nil {
+		pending = slices.Clone(c.peeked)
+		for _, part := range c.ahead {
+			pending = append(pending, part.content...)
+		}
+	}
+	c.mu.Unlock()
+	if len(pending) > 0 {
+		notify(pending)
+	}
 }
 
 // lastArrival returns when the newest bytes arrived that a request's parser has read.
@@ -153,6 +244,7 @@
 		}
 		c.mu.Unlock()
 		c.noteEnd(err)
+		c.notifyAhead()
 		if err != nil || c.room() == 0 {
 			return
 		}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -14,6 +14,7 @@
 	"cowsliptally.example/cowsliptally/acceptor"
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/gen/cowsliptally/v1/cowsliptallyv1connect"
+	"cowsliptally.example/cowsliptally/pipeliner"
 	"cowsliptally.example/cowsliptally/recorder"
 )
 
@@ -48,13 +49,15 @@
 		return nil, &Error{Operation: "listen on --peer-address", Kind: KindListen, Err: err}
 	}
 	s := &servers{
-		callers:        newServer(d.callerRouter()),
+		callers:        newServer(d.callerHandler()),
 		peers:          newServer(d.peerRouter()),
 		callerListener: acceptor.New(callerListener),
 		peerListener:   peerListener,
 		errs:           make(chan error, 2),
 	}
-	s.callers.ConnContext = acceptor.Context
+	s.callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return pipeliner.Context(acceptor.Context(ctx, c))
+	}
 	return s, nil
 }
 
@@ -97,6 +100,14 @@
 	return &http.Client{Transport: transport, Timeout: callTimeout}
 }
 
+// callerHandler returns the handler of callers' requests. Pipelined ones that may run twice
+// are begun side by side.
+func (d *Daemon) callerHandler() http.Handler {
+	return pipeliner.New(d.callerRouter(),
+		pipeliner.WithEligible(d.forwarder.MayRepeat),
+		pipeliner.WithLeaving(d.leaving.Load))
+}
+
 func (d *Daemon) callerRouter() http.Handler {
 	router := chi.NewRouter()
 	router.Use(d.closeWhenLeaving)
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"cowsliptally.example/cowsliptally/pipeliner"
 )
 
 // refusalTime is how long a node that shuts down refuses new requests, so that callers
@@ -60,10 +62,11 @@
 	}
 }
 
-// closeWhenLeaving makes answers close their connections once the node leaves.
+// closeWhenLeaving makes answers close their connections once the node leaves, except
+// before requests that have been begun behind them.
 func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
+		if d.leaving.Load() && !pipeliner.Pending(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -131,6 +131,19 @@
 	return fleet.Route{Service: service, Idempotent: safe(r.Method)}, nil
 }
 
+// MayRepeat reports whether a request may run twice by its route.
+func (f *Forwarder) MayRepeat(r *http.Request) bool {
+	if !f.configurations.Ready() {
+		return false
+	}
+	route, err := f.route(r)
+	if err != nil {
+		return false
+	}
+	idempotent, err := parseIdempotent(r.Header, route.Idempotent)
+	return err == nil && idempotent
+}
+
 // drawService picks a service at random, by weight, if the route splits its traffic.
 func drawService(route fleet.Route) fleet.Route {
 	if total := route.Split.Total(); total > 0 {
--- /dev/null
+++ b/pipeliner/early.go
@@ -0,0 +1,136 @@
+package pipeliner
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxBuffered is the part of an answer that is buffered until its turn, in bytes. A longer
+// one waits for its turn.
+const maxBuffered = 64 << 10
+
+// early is a request that was begun before its turn. It is the http.ResponseWriter of its
+// handler.
+type early struct {
+	ctx context.Context
+	// request is a copy from before the handler changed it.
+	request *http.Request
+	// turn is closed when writer is set, and done when the handler has returned.
+	turn, done chan struct{}
+
+	mu      sync.Mutex
+	header  http.Header
+	status  int
+	content []byte
+	// writer takes the answer from the request's turn on.
+	writer http.ResponseWriter
+	// panicked is what the handler panicked with; nil if it returned.
+	panicked any
+}
+
+func newEarly(r *http.Request) *early {
+	return &early{
+		ctx: r.Context(), request: r.Clone(r.Context()), header: make(http.Header),
+		turn: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+func (e *early) is(r *http.Request) bool { return same(e.request, r) }
+
+// run serves the request.
+func (e *early) run(handler http.Handler, r *http.Request) {
+	defer close(e.done)
+	defer func() {
+		cause := recover()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.panicked = cause
+	}()
+	handler.ServeHTTP(e, r)
+}
+
+// replay writes the answer to its caller. It panics as the handler did, which breaks the
+// connection of an answer that was broken off.
+func (e *early) replay(w http.ResponseWriter) {
+	if err := e.attach(w); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	<-e.done
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.panicked != nil {
+		panic(e.panicked)
+	}
+	if e.status == 0 {
+		e.writeHead(http.StatusOK)
+	}
+}
+
+// attach writes what is buffered and has the rest written directly.
+func (e *early) attach(w http.ResponseWriter) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer close(e.turn)
+	e.writer = w
+	if e.status == 0 {
+		return nil
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout)) // not on all writers
+	e.writeHead(e.status)
+	_, err := w.Write(e.content)
+	e.content = nil
+	return err
+}
+
+// writeHead writes the status and the headers.
+func (e *early) writeHead(status int) {
+	maps.Copy(e.writer.Header(), e.header)
+	e.writer.WriteHeader(status)
+}
+
+// Header returns the headers of the answer.
+func (e *early) Header() http.Header { return e.header }
+
+// WriteHeader sets the status.
+func (e *early) WriteHeader(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.status != 0 || status < http.StatusOK {
+		return
+	}
+	e.status = status
+	if e.writer != nil {
+		e.writeHead(status)
+	}
+}
+
+// Write writes a part of the body; beyond maxBuffered it waits for the request's turn.
+func (e *early) Write(part []byte) (int, error) {
+	e.WriteHeader(http.StatusOK)
+	e.mu.Lock()
+	if e.writer == nil && len(e.content)+len(part) <= maxBuffered {
+		e.content = append(e.content, part...)
+		e.mu.Unlock()
+		return len(part), nil
+	}
+	e.mu.Unlock()
+	select {
+	case <-e.turn:
+	case <-e.ctx.Done():
+		return 0, e.ctx.Err()
+	}
+	return e.writer.Write(part)
+}
+
+// SetWriteDeadline sets the deadline of writes from the request's turn on.
+func (e *early) SetWriteDeadline(deadline time.Time) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.writer == nil {
+		return nil
+	}
+	return http.NewResponseController(e.writer).SetWriteDeadline(deadline)
+}
--- /dev/null
+++ b/pipeliner/line.go
@@ -0,0 +1,98 @@
+package pipeliner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+	"reflect"
+	"sync"
+	"time"
+
+	"cowsliptally.example/cowsliptally/acceptor"
+)
+
+// headEnd ends the head of a request.
+const headEnd = "\r\n\r\n"
+
+// lineKey is the key of a connection's line in a context.
+type lineKey struct{}
+
+// line holds the requests of one connection that were begun before their turn, in order.
+type line struct {
+	ctx context.Context
+
+	mu    sync.Mutex
+	begun []*early
+}
+
+func (l *line) pending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.begun) > 0
+}
+
+// take returns the first request that was begun, whose turn has come; nil if there is none.
+func (l *line) take(r *http.Request) *early {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.begun) == 0 {
+		return nil
+	}
+	first := l.begun[0]
+	l.begun = l.begun[1:]
+	if !first.is(r) {
+		// The server read another request than was begun. Neither answer can be trusted.
+		panic(http.ErrAbortHandler)
+	}
+	return first
+}
+
+// follow begins the requests behind one that is served, until stop.
+func (l *line) follow(p *Pipeliner, current *http.Request) (stop func()) {
+	if hasBody(current) || current.Close || !current.ProtoAtLeast(1, 1) || current.ProtoMajor != 1 {
+		return func() {}
+	}
+	return acceptor.Watch(current.Context(), func(pending []byte) { l.begin(p, current, pending) })
+}
+
+// begin begins the requests whose heads are complete, up to the first that is not eligible.
+func (l *line) begin(p *Pipeliner, current *http.Request, pending []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 0; i < p.depth; i++ {
+		end := bytes.Index(pending, []byte(headEnd))
+		if end < 0 {
+			return
+		}
+		head := pending[:end+len(headEnd)]
+		pending = pending[len(head):]
+		if i < len(l.begun) {
+			continue
+		}
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+		if err != nil || !plain(r) || !p.eligible(r) || p.leaving() {
+			return
+		}
+		r.RemoteAddr = current.RemoteAddr
+		r = r.WithContext(acceptor.WithArrival(l.ctx, time.Now()))
+		e := newEarly(r)
+		l.begun = append(l.begun, e)
+		go e.run(p.next, r)
+	}
+}
+
+// plain reports whether a request has nothing that net/http would treat in another way than
+// http.ReadRequest.
+func plain(r *http.Request) bool {
+	return r.ProtoAtLeast(1, 1) && r.ProtoMajor == 1 && r.Host != "" && !r.Close && !hasBody(r) &&
+		(r.Method == http.MethodGet || r.Method == http.MethodHead) &&
+		r.Header.Get("Expect") == "" && r.Header.Get("Upgrade") == ""
+}
+
+func hasBody(r *http.Request) bool { return r.ContentLength != 0 || len(r.TransferEncoding) > 0 }
+
+// same reports whether two requests are the same as far as a handler can tell.
+func same(a, b *http.Request) bool {
+	return a.Method == b.Method && a.RequestURI == b.RequestURI && a.Host == b.Host && reflect.DeepEqual(a.Header, b.Header)
+}
--- /dev/null
+++ b/pipeliner/pipeliner.go
@@ -0,0 +1,87 @@
+package pipeliner
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// DefaultDepth is the number of requests of a connection that are begun before their turn.
+	DefaultDepth = 8
+	// writeTimeout bounds the writing of the buffered part of an answer.
+	writeTimeout = 10 * time.Second
+)
+
+// Pipeliner is an http.Handler that wraps another one.
+type Pipeliner struct {
+	next     http.Handler
+	eligible func(*http.Request) bool
+	leaving  func() bool
+	depth    int
+}
+
+// Option changes a setting of a Pipeliner.
+type Option func(*Pipeliner)
+
+// WithEligible sets which requests may be begun before their turn; without it none are.
+func WithEligible(eligible func(*http.Request) bool) Option {
+	return func(p *Pipeliner) { p.eligible = eligible }
+}
+
+// WithLeaving sets whether the server is about to close its connections. Then no request is
+// begun before its turn, and the last of those that were closes its connection.
+func WithLeaving(leaving func() bool) Option {
+	return func(p *Pipeliner) { p.leaving = leaving }
+}
+
+// WithDepth sets the number of requests of a connection that are begun before their turn.
+func WithDepth(depth int) Option {
+	return func(p *Pipeliner) { p.depth = depth }
+}
+
+// New returns a pipeliner in front of a handler.
+func New(next http.Handler, options ...Option) *Pipeliner {
+	p := &Pipeliner{
+		next: next, depth: DefaultDepth,
+		eligible: func(*http.Request) bool { return false },
+		leaving:  func() bool { return false },
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Context returns the context of a connection, derived from that of the acceptor.
+func Context(ctx context.Context) context.Context {
+	l := &line{}
+	l.ctx = context.WithValue(ctx, lineKey{}, l)
+	return l.ctx
+}
+
+// Pending reports whether requests of the same connection have been begun that wait for
+// their turn. The connection must not be closed before they are answered.
+func Pending(ctx context.Context) bool {
+	l, ok := ctx.Value(lineKey{}).(*line)
+	return ok && l.pending()
+}
+
+// ServeHTTP serves one request, or returns its answer if it was begun before.
+func (p *Pipeliner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l, ok := r.Context().Value(lineKey{}).(*line)
+	if !ok {
+		p.next.ServeHTTP(w, r)
+		return
+	}
+	begun := l.take(r)
+	defer l.follow(p, r)()
+	if begun == nil {
+		p.next.ServeHTTP(w, r)
+		return
+	}
+	if p.leaving() && !l.pending() {
+		w.Header().Set("Connection", "close")
+	}
+	begun.replay(w)
+}
