--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -67,7 +67,7 @@
 	c.inRead.Lock()
 	defer c.inRead.Unlock()
 	c.stopReadingAhead()
-	n, at, err, found := c.takeAhead(b)
+	n, at, found, err := c.takeAhead(b)
 	if !found {
 		n, err = c.Conn.Read(b)
 		at = time.Now()
@@ -185,11 +185,11 @@
 
 // takeAhead returns bytes that were read ahead and when they arrived, or found false if
 // nothing is left of them.
-func (c *conn) takeAhead(b []byte) (n int, at time.Time, err error, found bool) {
+func (c *conn) takeAhead(b []byte) (n int, at time.Time, found bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.ahead) == 0 {
-		return 0, time.Time{}, c.err, c.err != nil
+		return 0, time.Time{}, c.err != nil, c.err
 	}
 	first := &c.ahead[0]
 	n, at = copy(b, first.content), first.at
@@ -198,7 +198,7 @@
 	if len(first.content) == 0 {
 		c.ahead = c.ahead[1:]
 	}
-	return n, at, nil, true
+	return n, at, true, nil
 }
 
 func (c *conn) startReadingAhead() {
