Never take a stray answer for that of the next request, nor keep its connection

Cause, found by a test of what other operators saw: on a connection in use again, an answer without the request's identifier counted as the next request's own: a copy of an earlier success or failure, or a refusal that proves that the request did not run, though it had (REFUSED, and a second run). And when a stray answer was recognised by its identifier, a connection whose answer has no body went back to the pool, so the next request got the answer before its own, and so on, each told as unknown. A status without a body, such as 204, could abort the answer. A connection with a foreign answer is closed, and a request that gets it meanwhile is not written. Ruled out: the hop from owner to ingress, where each answer has its identifier, and callers, whom net/http answers in order.

--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -85,6 +85,9 @@
 	if d.dialect != nil {
 		options = append(options, dispatcher.WithDialect(d.dialect))
 	}
+	if d.set.Echoes {
+		options = append(options, dispatcher.WithRequiredEcho())
+	}
 	if d.set.Undelimited {
 		options = append(options, dispatcher.WithUndelimitedAnswers())
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -179,11 +179,11 @@
 	}
 	response := exchange.Response
 	if err := a.dispatcher.dialect.TranslateAnswer(response); err != nil {
-		exchange.Close()
+		exchange.Break()
 		return &result{outcome: unknown(fleet.ReasonBroken), message: err.Error()}
 	}
-	if echoed := response.Header.Get(fleet.HeaderRequestID); echoed != "" && echoed != string(a.call.request) {
-		exchange.Close()
+	if echoed := response.Header.Get(fleet.HeaderRequestID); !a.own(echoed, exchange) {
+		exchange.Break()
 		message := fmt.Sprintf("the backend server answered request %q", echoed)
 		return &result{outcome: unknown(fleet.ReasonBroken), message: message}
 	}
@@ -193,12 +193,12 @@
 		return &result{outcome: refused(reason), message: "the backend server refused the request", reached: true}
 	}
 	if !delimited(response) && !a.dispatcher.undelimited {
-		exchange.Close()
+		exchange.Break()
 		return &result{outcome: unknown(fleet.ReasonBroken), message: "the answer's length is not told"}
 	}
 	content, complete, err := a.dispatcher.answers.CollectPart(response.Body, response.ContentLength)
 	if err != nil {
-		exchange.Close()
+		exchange.Break()
 		return a.lost(ctx, err)
 	}
 	return &result{
@@ -209,6 +209,15 @@
 	}
 }
 
+// own reports whether an answer with this identifier belongs to the attempt. One without an
+// identifier may be a late answer to an earlier request on the same connection.
+func (a *attempt) own(echoed string, exchange *pooler.Exchange) bool {
+	if echoed == "" {
+		return !a.dispatcher.requireEcho || !exchange.Reused
+	}
+	return echoed == string(a.call.request)
+}
+
 // outgoing returns the request for the backend server.
 func (a *attempt) outgoing(ctx context.Context) *http.Request {
 	r := a.request.Clone(ctx)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -51,6 +51,7 @@
 	heartbeat       time.Duration
 	dialect         Dialect
 	undelimited     bool
+	requireEcho     bool
 	estimates       bool
 	drainer         *drainer.Drainer
 	usage           *admitter.Usage
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -125,6 +125,13 @@
 	return func(d *Dispatcher) { d.dialect = dialect }
 }
 
+// WithRequiredEcho has backend servers repeat each request's identifier in its answer. An
+// answer without one that comes over a connection in use again may belong to an earlier
+// request, and is not accepted.
+func WithRequiredEcho() Option {
+	return func(d *Dispatcher) { d.requireEcho = true }
+}
+
 // WithUndelimitedAnswers accepts answers without a length, which end when their connection does.
 // A connection reset shows that the answer is incomplete; an early close cannot be
 // distinguished from its end.
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -35,8 +35,11 @@
 	if a.request.Method == http.MethodHead {
 		return
 	}
-	if _, err := w.Write(r.content.Bytes()); err != nil {
-		panic(http.ErrAbortHandler)
+	// Statuses without a body, such as 204, allow no write.
+	if content := r.content.Bytes(); len(content) > 0 {
+		if _, err := w.Write(content); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	if r.complete {
 		return
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -185,7 +185,7 @@
 	header := response.Header
 	f.tickets.put(backend.Owner, header.Get(fleet.HeaderTicket))
 	if header.Get(fleet.HeaderRequestID) != string(s.id) {
-		exchange.Close()
+		exchange.Break()
 		return unknown(fleet.ReasonBroken, fmt.Sprintf("the owner answered request %q", header.Get(fleet.HeaderRequestID)))
 	}
 	f.report(backend, header)
--- a/forwarder/offer.go
+++ b/forwarder/offer.go
@@ -71,7 +71,7 @@
 	}
 	f.tickets.put(backend.Owner, header.Get(fleet.HeaderTicket))
 	if header.Get(fleet.HeaderRequestID) != string(s.id) {
-		exchange.Close()
+		exchange.Break()
 		return refused(fleet.ReasonBroken, "the owner answered another offer")
 	}
 	f.report(backend, header)
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -10,6 +10,15 @@
 	net.Conn
 	reads  atomic.Uint64
 	writes atomic.Uint64
+	// broken is set when the connection must not be used again.
+	broken atomic.Bool
+}
+
+// breakOff closes the connection. A request that gets it from the pool meanwhile is not
+// written, and goes to another one.
+func (c *conn) breakOff() {
+	c.broken.Store(true)
+	_ = c.Close() // it may be closed already
 }
 
 // Read reads from the connection.
@@ -24,6 +33,9 @@
 // Write increments the count before it writes, so that a count that is unchanged
 // after Close proves that nothing was written.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
 	return c.Conn.Write(b)
 }
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -15,6 +15,8 @@
 	Reused bool
 
 	cancel context.CancelCauseFunc
+	// conn is the connection that was used; nil if none was.
+	conn *conn
 }
 
 // setResponse sets the response and closes the body of an earlier one.
@@ -25,6 +27,15 @@
 	e.Response = response
 }
 
+// Break ends the exchange and closes its connection, which may hold the answer to another
+// request. Close leaves a connection open whose answer has no body.
+func (e *Exchange) Break() {
+	e.Close()
+	if e.conn != nil {
+		e.conn.breakOff()
+	}
+}
+
 // Close ends the exchange; the body cannot be read afterwards.
 func (e *Exchange) Close() {
 	if e.Response != nil {
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -130,6 +130,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			used = info.Conn.(*conn)
+			exchange.conn = used
 			before = used.writes.Load()
 			exchange.Reused = info.Reused
 			if info.Reused {
--- a/settings/node.go
+++ b/settings/node.go
@@ -44,6 +44,7 @@
 	Verdicts              string        `help:"Health evaluation of backend servers: by the fleet, or by each owner alone from the results of the last seconds." enum:"fleet,owner" default:"fleet"`
 	RepeatErrors          bool          `help:"Retry idempotent requests that a backend server answered with an error." default:"false"`
 	Undelimited           bool          `help:"Accept answers of backend servers that are delimited only by the close of the connection." default:"false"`
+	Echoes                bool          `help:"Backend servers repeat each request's identifier in its answer: on a connection in use again, refuse answers without one." default:"false"`
 	Lease                 time.Duration `help:"Time without an announcement after which a backend server is marked as gone." default:"3s"`
 	DialTimeout           time.Duration `help:"Time limit of a new connection to a node or backend server." default:"1s"`
 	PeerIdle              time.Duration `help:"Time after which an unused connection to another node is closed." default:"4s"`
