--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cowsliptally.example/cowsliptally/drainer"
 )
 
@@ -19,6 +21,7 @@
 // Acceptor is a net.Listener.
 type Acceptor struct {
 	net.Listener
+	clock     clockwork.Clock
 	readAhead int
 	linger    time.Duration
 	// lingering counts the closed connections that are still read.
@@ -28,6 +31,11 @@
 // Option changes a setting of an acceptor.
 type Option func(*Acceptor)
 
+// WithClock replaces the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(a *Acceptor) { a.clock = clock }
+}
+
 // WithReadAhead sets the number of bytes that are read ahead on one connection.
 func WithReadAhead(bytes int) Option {
 	return func(a *Acceptor) { a.readAhead = bytes }
@@ -40,7 +48,10 @@
 
 // New returns an acceptor of the connections of a listener.
 func New(listener net.Listener, options ...Option) *Acceptor {
-	a := &Acceptor{Listener: listener, readAhead: DefaultReadAhead, linger: DefaultLinger, lingering: drainer.New()}
+	a := &Acceptor{
+		Listener: listener, clock: clockwork.NewRealClock(),
+		readAhead: DefaultReadAhead, linger: DefaultLinger, lingering: drainer.New(),
+	}
 	for _, option := range options {
 		option(a)
 	}
--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -68,7 +68,7 @@
 		n, err := c.Conn.Read(part[:min(len(part), c.room())])
 		c.mu.Lock()
 		if n > 0 {
-			c.ahead = append(c.ahead, chunk{content: slices.Clone(part[:n]), at: time.Now()})
+			c.ahead = append(c.ahead, chunk{content: slices.Clone(part[:n]), at: c.acceptor.clock.Now()})
 			c.aheadBytes += n
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -71,7 +71,7 @@
 	n, at, found, err := c.takeAhead(b)
 	if !found {
 		n, err = c.Conn.Read(b)
-		at = time.Now()
+		at = c.acceptor.clock.Now()
 		c.noteEnd(err)
 	}
 	if c.isClosed() {
@@ -221,7 +221,7 @@
 
 // discard reads until the other end closes the connection or the linger time has passed.
 func (c *conn) discard() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.acceptor.linger))
+	_ = c.Conn.SetReadDeadline(c.acceptor.clock.Now().Add(c.acceptor.linger))
 	part := make([]byte, readSize)
 	for {
 		if _, err := c.Conn.Read(part); err != nil {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -51,7 +51,7 @@
 	s := &servers{
 		callers:        newServer(d.callerHandler()),
 		peers:          newServer(d.peerRouter()),
-		callerListener: acceptor.New(callerListener),
+		callerListener: acceptor.New(callerListener, acceptor.WithClock(d.clock)),
 		peerListener:   peerListener,
 		errs:           make(chan error, 2),
 	}
@@ -104,6 +104,7 @@
 // are begun side by side.
 func (d *Daemon) callerHandler() http.Handler {
 	return pipeliner.New(d.callerRouter(),
+		pipeliner.WithClock(d.clock),
 		pipeliner.WithEligible(d.forwarder.MayRepeat),
 		pipeliner.WithLeaving(d.leaving.Load))
 }
--- a/pipeliner/early.go
+++ b/pipeliner/early.go
@@ -53,9 +53,10 @@
 }
 
 // replay writes the answer to its caller. It panics as the handler did, which breaks the
-// connection of an answer that was broken off.
-func (e *early) replay(w http.ResponseWriter) {
-	if err := e.attach(w); err != nil {
+// connection of an answer that was broken off. The buffered part must be written by the
+// deadline.
+func (e *early) replay(w http.ResponseWriter, deadline time.Time) {
+	if err := e.attach(w, deadline); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	<-e.done
@@ -70,7 +71,7 @@
 }
 
 // attach writes what is buffered and has the rest written directly.
-func (e *early) attach(w http.ResponseWriter) error {
+func (e *early) attach(w http.ResponseWriter, deadline time.Time) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer close(e.turn)
@@ -78,7 +79,7 @@
 	if e.status == 0 {
 		return nil
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout)) // not on all writers
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline) // not on all writers
 	e.writeHead(e.status)
 	_, err := w.Write(e.content)
 	e.content = nil
--- a/pipeliner/line.go
+++ b/pipeliner/line.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"reflect"
 	"sync"
-	"time"
 
 	"cowsliptally.example/cowsliptally/acceptor"
 )
@@ -78,7 +77,7 @@
 			return
 		}
 		r.RemoteAddr = current.RemoteAddr
-		r = r.WithContext(acceptor.WithArrival(l.ctx, time.Now()))
+		r = r.WithContext(acceptor.WithArrival(l.ctx, p.clock.Now()))
 		e := newEarly(r)
 		l.begun = append(l.begun, e)
 		go e.run(p.next, r)
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -19,6 +21,7 @@
 	eligible func(*http.Request) bool
 	leaving  func() bool
 	depth    int
+	clock    clockwork.Clock
 }
 
 // Option changes a setting of a Pipeliner.
@@ -35,6 +38,11 @@
 	return func(p *Pipeliner) { p.leaving = leaving }
 }
 
+// WithClock replaces the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(p *Pipeliner) { p.clock = clock }
+}
+
 // WithDepth sets the number of requests of a connection that are begun before their turn.
 func WithDepth(depth int) Option {
 	return func(p *Pipeliner) { p.depth = depth }
@@ -43,7 +51,7 @@
 // New returns a pipeliner in front of a handler.
 func New(next http.Handler, options ...Option) *Pipeliner {
 	p := &Pipeliner{
-		next: next, depth: DefaultDepth,
+		next: next, depth: DefaultDepth, clock: clockwork.NewRealClock(),
 		eligible: func(*http.Request) bool { return false },
 		leaving:  func() bool { return false },
 	}
@@ -83,5 +91,5 @@
 	if p.leaving() && !l.pending() {
 		w.Header().Set("Connection", "close")
 	}
-	begun.replay(w)
+	begun.replay(w, p.clock.Now().Add(writeTimeout))
 }
