Take no answer for a request that was not written on a connection broken off

Cause: a connection goes back to the pool before its stray answer is recognised. A request that got it then was not written, but net/http handed it the answer that was already read, which belongs to the one before; it was told as unknown although it had not run. Ruled out: a request that was written, which keeps its outcome.

--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -21,6 +21,12 @@
 	_ = c.Close() // it may be closed already
 }
 
+// wroteNothing reports whether the connection was broken off and nothing was written since
+// its count of writes had a value.
+func (c *conn) wroteNothing(before uint64) bool {
+	return c.broken.Load() && c.writes.Load() == before
+}
+
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
