Log the limits that backend servers name, with what they got

LIMIT could not be traced by the logs: no line shows what a backend server names, nor how much it gets by its owner's count. The owner now records an event when a limit is named, changes or is lifted, with the requests sent since the event before. No decision uses it yet.

One owner sent 103 requests in 17.9 s where 1 a second was named, so the limit is ignored, not badly shared out. A restarted owner sent four requests before the first answer told it the limit, so a limit that only the owner knows would be forgotten at a restart.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -125,6 +125,7 @@
 		message := fmt.Sprintf("the backend server answered request %q", echoed)
 		return &result{outcome: unknown(fleet.ReasonBroken), message: message}
 	}
+	a.readLimit(response.Header)
 	if shed(response) {
 		exchange.Close()
 		reason := fleet.Reason(cmp.Or(response.Header.Get(fleet.HeaderReason), string(fleet.ReasonBusy)))
--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,7 +17,8 @@
 	TranslateRequest(head http.Header, backend fleet.Backend, attempt int, remaining time.Duration)
 	// TranslateAnswer sets the fleet's own headers: HeaderRequestID to the request that was
 	// answered, and HeaderExecuted and HeaderReason if the backend server refused the
-	// request without running it. An error means that the answer is not from the
+	// request without running it, and HeaderLimit if the answer shows whether the backend
+	// server limits its requests. An error means that the answer is not from the
 	// backend server.
 	TranslateAnswer(answer *http.Response) error
 }
@@ -36,5 +38,6 @@
 	if answer.StatusCode != http.StatusServiceUnavailable {
 		answer.Header.Del(fleet.HeaderExecuted)
 	}
+	answer.Header.Set(fleet.HeaderLimit, cmp.Or(answer.Header.Get(fleet.HeaderLimit), fleet.LimitNone))
 	return nil
 }
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -28,6 +28,13 @@
 	lastFailing bool
 	// running holds the identities of the requests in slots.
 	running map[admitter.ID]string
+	// limit is the number of requests a second that the backend server takes, unless it is
+	// unlimited.
+	limit   float64
+	limited bool
+	// sent counts the requests sent since the limit last changed, at limitSince.
+	sent       int
+	limitSince time.Time
 }
 
 func newGate(slots int, usage *admitter.Usage, clock clockwork.Clock) *gate {
@@ -37,6 +44,8 @@
 		slots:    slots,
 		waiters:  make(map[admitter.ID]chan admitter.Decision),
 		running:  make(map[admitter.ID]string),
+
+		limitSince: clock.Now(),
 	}
 }
 
@@ -100,10 +109,11 @@
 	return g.estimator != nil && estimator.IsFailing(g.estimator.FailureProbability(g.clock.Now()))
 }
 
-// start records in the estimator that a request is sent.
+// start records that a request is sent.
 func (g *gate) start(id admitter.ID, kind fleet.RequestKind) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.sent++
 	if g.estimator != nil {
 		g.estimator.Begin(uint64(id), kind, g.clock.Now())
 	}
--- a/explainer/text.go
+++ b/explainer/text.go
@@ -84,6 +84,7 @@
 	fleet.EventRequest:               "returned the answer to %, with status",
 	fleet.EventAttempt:               "could not answer an attempt of % as usual",
 	fleet.EventFailing:               "changed its evaluation of %",
+	fleet.EventLimit:                 "changed the limit of %",
 	fleet.EventReachability:          "recorded a new state of the path to %",
 	fleet.EventStalled:               "dropped a connection to % that made no progress",
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -49,6 +49,9 @@
 	EventAttempt EventKind = "attempt"
 	// EventFailing is a backend server that its owner begins or ceases to suspect of failing.
 	EventFailing EventKind = "doubt"
+	// EventLimit is a backend server that names a limit for its requests, changes it, or names
+	// none any more.
+	EventLimit EventKind = "limit"
 	// EventReachability is a node that became unreachable or reachable for this node.
 	EventReachability EventKind = "path"
 	// EventStalled is a connection that made no progress and was dropped.
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -34,6 +34,9 @@
 	HeaderServiceTime = "Cowsliptally-Service-Time"
 	// HeaderEvidence carries the owner's log-likelihood ratio against the backend server, in nats.
 	HeaderEvidence = "Cowsliptally-Evidence"
+	// HeaderLimit carries the requests a second that the backend server takes from all nodes
+	// together, or LimitNone. Without it, the limit is not known.
+	HeaderLimit = "Cowsliptally-Limit"
 	// HeaderRevision carries the configuration revision of the answering node.
 	HeaderRevision = "Cowsliptally-Revision"
 	// HeaderBodyLength carries the length of the answer's body between nodes, in bytes.
@@ -64,3 +67,6 @@
 	// HeaderNoWait carries "none" on a no-wait attempt, which is refused unless a slot is free.
 	HeaderNoWait = "Cowsliptally-Patience"
 )
+
+// LimitNone is the value of HeaderLimit for a backend server that names no limit.
+const LimitNone = "none"
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -23,7 +23,7 @@
 	fleet.HeaderRevision, fleet.HeaderBodyLength, fleet.HeaderTicket, fleet.HeaderWeight,
 	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial, fleet.HeaderReporter,
 	fleet.HeaderCrashed, fleet.HeaderReachedBackend, fleet.HeaderNoWait,
-	fleet.HeaderForced, fleet.HeaderTarget, fleet.HeaderRetryCost,
+	fleet.HeaderForced, fleet.HeaderTarget, fleet.HeaderRetryCost, fleet.HeaderLimit,
 }
 
 // RemoveConnectionHeaders removes the headers that concern one connection.
