Show that owners send more than their backend servers take

The bounds are those of the issue: one and a half times the limit and 5 requests in 4 s; a limit must not hold back what it allows, and its end must be noticed.

--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -111,3 +111,54 @@
 	})
 	is.Equal(len(recorded.of(fleet.EventSkipped)), 2)
 }
+
+// offerEvery sends an attempt each interval for a time, as ingresses that pass on what the owner
+// told them last.
+func offerEvery(d *dispatcher.Dispatcher, clock *clockwork.FakeClock, prefix string, interval, length time.Duration, limit *string) {
+	ticket := send(d, prefix, "1", "", "false").Header().Get(fleet.HeaderTicket)
+	for i := range int(length / interval) {
+		w := send(d, fmt.Sprint(prefix, i), "1", ticket, "false", fleet.HeaderNoWait, "none", fleet.HeaderLimit, *limit)
+		ticket = w.Header().Get(fleet.HeaderTicket)
+		*limit = w.Header().Get(fleet.HeaderLimit)
+		clock.Advance(interval)
+	}
+}
+
+// mostIn4s is what a backend server may get in 4 s when it has named a limit: one and a half
+// times the limit, and 5 requests.
+func mostIn4s(limit float64) int { return int(1.5*4*limit) + 5 }
+
+func TestBackendServerGetsNoMoreThanItNames(t *testing.T) {
+	for _, limit := range []float64{0, 0.3, 1, 3.2, 8} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			server, l := newLimited(t, clock, fmt.Sprint(limit))
+			d := dispatcher.New("node", l, dispatcher.WithClock(clock))
+			told := ""
+			offerEvery(d, clock, "r", 20*time.Millisecond, 12*time.Second, &told)
+			is.True(server.most(4*time.Second) <= mostIn4s(limit))
+			is.True(float64(len(server.arrivals)) >= 0.8*12*limit) // what it takes is not withheld
+			is.True(len(server.arrivals) > 2)                      // its answers can show the end of the limit
+			server.setLimit("")
+			for range 250 {
+				clock.Advance(20 * time.Millisecond)
+				offerEvery(d, clock, "s", 20*time.Millisecond, 20*time.Millisecond, &told)
+			}
+			is.True(server.most(time.Second) > 20)
+		})
+	}
+}
+
+// TestRestartedOwnersKeepTheLimitThatIngressesWereTold restarts the owner each second.
+func TestRestartedOwnersKeepTheLimitThatIngressesWereTold(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	server, l := newLimited(t, clock, "1.2")
+	told := ""
+	for start := range 12 {
+		d := dispatcher.New("node", l, dispatcher.WithClock(clock))
+		offerEvery(d, clock, fmt.Sprint("start", start, "-"), 20*time.Millisecond, time.Second, &told)
+	}
+	is.True(server.most(4*time.Second) <= mostIn4s(1.2))
+}
