Keep to the limit that a backend server names, also after a restart

What callers saw: nothing at once; a backend server in need, which named the requests a second that it takes, got up to six times as many.

Cause: no process read the header. Evidence: one owner's own count was 103 requests in 17.9 s at a limit of 1 a second, and a restarted owner sent four before its first answer told it the limit. Ruled out: that nodes share a limit badly, as one owner sends all requests of its backend server.

The owner keeps a token bucket for each backend server (pacer), whose rate the answers set and end. It governs slots, queue and reservations in the admitter, so no way to the backend server goes round it. Ingresses keep the limit that they were told and send it with each attempt and offer; an owner adopts it as long as its backend server has not answered. They also hear for how long a new request would wait, and count that as load.

Why this works: all requests pass the bucket; 4 s hold at most 4.5 times the limit and one more, where 6 times and 5 are allowed. A machine that passed on an answer with a limit knows it, and tells it with its next attempt.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pacer"
 )
 
 const (
@@ -44,6 +45,8 @@
 	expected    map[fleet.RequestKind]time.Duration
 	mean        time.Duration
 	closed      bool
+	// pacer keeps to the limit that the backend server names.
+	pacer pacer.Pacer
 }
 
 // New returns an admitter for a backend server with this many slots.
@@ -72,7 +75,7 @@
 		return []Decision{refusal(r.ID, fleet.ReasonDeadline)}
 	}
 	decisions := a.expire(now)
-	if len(a.running) < a.slots && len(a.waiting) == 0 {
+	if len(a.waiting) == 0 && a.take(now) {
 		return append(decisions, a.run(r, now))
 	}
 	if r.NoWait {
@@ -158,6 +161,12 @@
 	return 0
 }
 
+// take reports whether a request may run now: a slot is free, and the backend server's limit
+// allows one more, which is then counted.
+func (a *Admitter) take(now time.Time) bool {
+	return len(a.running) < a.slots && a.pacer.Take(now)
+}
+
 func (a *Admitter) run(r Request, now time.Time) Decision {
 	a.running[r.ID] = struct{}{}
 	a.usage.Add(r.Organisation, a.cost(r.Kind).Seconds(), now)
@@ -167,7 +176,7 @@
 // fill gives free slots to the most valuable queued requests.
 func (a *Admitter) fill(now time.Time) []Decision {
 	decisions := a.expire(now)
-	for len(a.running) < a.slots && len(a.waiting) > 0 {
+	for len(a.waiting) > 0 && a.take(now) {
 		best, _ := a.rank(now)
 		r := a.waiting[best]
 		a.waiting = append(a.waiting[:best], a.waiting[best+1:]...)
@@ -211,29 +220,45 @@
 // before them have run. Their callers can still go elsewhere.
 func (a *Admitter) expire(now time.Time) []Decision {
 	order := a.order(now)
-	hopeless := make(map[ID]bool)
+	hopeless := make(map[ID]fleet.Reason)
 	ahead := 0
 	for _, i := range order {
 		r := a.waiting[i]
-		if now.Add(a.wait(ahead) + a.Expected(r.Kind)).Before(r.Deadline) {
+		reason := a.hopeless(r, ahead, now)
+		if reason == "" {
 			ahead++
 			continue
 		}
-		hopeless[r.ID] = true
+		hopeless[r.ID] = reason
 	}
 	if len(hopeless) == 0 {
 		return nil
 	}
 	var decisions []Decision
 	a.waiting = slices.DeleteFunc(a.waiting, func(r Request) bool {
-		if hopeless[r.ID] {
-			decisions = append(decisions, refusal(r.ID, fleet.ReasonDeadline))
+		reason, found := hopeless[r.ID]
+		if found {
+			decisions = append(decisions, refusal(r.ID, reason))
 		}
-		return hopeless[r.ID]
+		return found
 	})
 	return decisions
 }
 
+// hopeless returns why a waiting request with so many before it cannot be answered in time, or
+// the empty reason. Where only the backend server's limit is in the way, others may have room.
+func (a *Admitter) hopeless(r Request, ahead int, now time.Time) fleet.Reason {
+	left := r.Deadline.Sub(now) - a.Expected(r.Kind)
+	switch {
+	case a.wait(ahead) >= left:
+		return fleet.ReasonDeadline
+	case a.pacer.Wait(ahead, now) >= left:
+		return fleet.ReasonBusy
+	default:
+		return ""
+	}
+}
+
 // wait returns the least time until a slot is free for a request with so many before it.
 func (a *Admitter) wait(ahead int) time.Duration {
 	if a.slots < 1 || len(a.running) < a.slots {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -22,6 +22,9 @@
 	// failurePenalty is how long a failed attempt keeps its slot in the
 	// balancer's count, so that fast errors attract no traffic.
 	failurePenalty = 100 * time.Millisecond
+	// pauseUnit is the time to wait for a backend server's limit that counts like one queued
+	// request for each slot: about a service time.
+	pauseUnit = 250 * time.Millisecond
 	// slowStartTime is the length of the slow start after a cold start.
 	slowStartTime = 10 * time.Second
 	// minSlowStartShare is the share at the beginning of the slow start.
@@ -116,7 +119,18 @@
 func (b *Balancer) Report(report fleet.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.load(report.Backend).report = report
+	b.load(report.Backend).store(report)
+}
+
+// Limit returns the limit that was reported last for a backend server, as in
+// fleet.HeaderLimit; empty if none was reported.
+func (b *Balancer) Limit(id fleet.BackendID) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, found := b.loads[id]; found {
+		return l.report.Limit
+	}
+	return ""
 }
 
 // Forget removes the state of a backend server that no longer exists.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -132,6 +132,27 @@
 	is.True(shares(b, list, true)["b0"] > 0.9)
 }
 
+// TestLimitKeepsRequestsAwayUntilItAllowsOne reports a limit, and then, as after a restart of
+// the owner, none that is known.
+func TestLimitKeepsRequestsAwayUntilItAllowsOne(t *testing.T) {
+	is := is.New(t)
+	c := &clock{time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	list := candidates("a", "a")
+	b := balancer.New(balancer.WithSeed(1), balancer.WithClock(c))
+	b.Report(fleet.Load{Backend: "b0", Slots: 4, Limit: "0.5", Pause: 2 * time.Second, At: c.now})
+	b.Report(fleet.Load{Backend: "b1", Slots: 4, InFlight: 3, Queued: 3, At: c.now})
+	c.now = c.now.Add(900 * time.Millisecond)
+	is.Equal(shares(b, list, true)["b0"], 0.0) // a short queue is shorter than the pause
+	c.now = c.now.Add(1100 * time.Millisecond)
+	is.True(shares(b, list, true)["b0"] > 0.9)
+	is.Equal(b.Limit("b0"), "0.5")
+	b.Report(fleet.Load{Backend: "b0", Slots: 4, At: c.now})
+	is.Equal(b.Limit("b0"), "0.5")
+	b.Report(fleet.Load{Backend: "b0", Slots: 4, Limit: fleet.LimitNone, At: c.now})
+	is.Equal(b.Limit("b0"), fleet.LimitNone)
+	is.Equal(b.Limit("b1"), "")
+}
+
 func TestSlowStart(t *testing.T) {
 	is := is.New(t)
 	c := &clock{time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -39,8 +39,27 @@
 	l.failedUntil = now.Add(failurePenalty)
 }
 
-// ratio returns the requests in flight for each slot.
+// store stores a load report. An owner that does not know the limit, such as one that was
+// restarted, does not revoke what was reported before.
+func (l *load) store(report fleet.Load) {
+	if report.Limit == "" {
+		report.Limit = l.report.Limit
+	}
+	l.report = report
+}
+
+// ratio returns the requests in flight for each slot. While its limit keeps new requests
+// waiting, a backend server has no capacity, and its load grows with the wait.
 func (l *load) ratio(slots int, now time.Time) float64 {
+	ratio := l.busyRatio(slots, now)
+	if pause := l.report.At.Add(l.report.Pause).Sub(now); pause > 0 {
+		return max(ratio, fullLoad+pause.Seconds()/pauseUnit.Seconds())
+	}
+	return ratio
+}
+
+// busyRatio returns the requests in flight for each slot, whatever the limit.
+func (l *load) busyRatio(slots int, now time.Time) float64 {
 	busy := l.inFlight
 	if now.Sub(l.report.At) < staleAfter {
 		busy = max(busy, l.report.InFlight+l.report.Queued)
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -39,6 +39,10 @@
 	header.Set(fleet.HeaderInFlight, strconv.Itoa(running))
 	header.Set(fleet.HeaderQueued, strconv.Itoa(waiting))
 	header.Set(fleet.HeaderSlots, strconv.Itoa(g.slotCount()))
+	if limit, pause := g.describeLimit(); limit != "" {
+		header.Set(fleet.HeaderLimit, limit)
+		header.Set(fleet.HeaderPause, strconv.FormatInt(pause.Milliseconds(), 10))
+	}
 	if llr := d.observer.LLR(c.backend); llr > 0 {
 		header.Set(fleet.HeaderEvidence, strconv.FormatFloat(llr, 'f', 1, 64))
 	}
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -28,6 +28,9 @@
 	retryCost float64
 	// forced attempts are sent even to a failing backend server.
 	forced bool
+	// limit is the backend server's limit in requests a second as the ingress was told it; nil
+	// if it was told none.
+	limit *float64
 	// target is the time after which an answer loses value; zero if it never does.
 	target   time.Time
 	deadline time.Time
@@ -76,6 +79,13 @@
 		}
 		c.retryCost = cost
 	}
+	if value := header.Get(fleet.HeaderLimit); value != "" && value != fleet.LimitNone {
+		limit, err := parseLimit(value)
+		if err != nil {
+			return call{}, fmt.Errorf("header %s: %w", fleet.HeaderLimit, err)
+		}
+		c.limit = &limit
+	}
 	c.attempt, c.weight = attempt, weight
 	c.deadline = now.Add(time.Duration(timeout) * time.Millisecond)
 	return c, nil
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -28,10 +28,9 @@
 	lastFailing bool
 	// running holds the identities of the requests in slots.
 	running map[admitter.ID]string
-	// limit is the number of requests a second that the backend server takes, unless it is
-	// unlimited.
-	limit   float64
-	limited bool
+	// pause ends when the limit of the backend server allows the first queued request; nil
+	// while none waits for that.
+	pause clockwork.Timer
 	// sent counts the requests sent since the limit last changed, at limitSince.
 	sent       int
 	limitSince time.Time
@@ -196,6 +195,7 @@
 	g.last++
 	decided := make(chan admitter.Decision, 1)
 	g.waiters[g.last] = decided
+	g.inherit(c)
 	g.deliver(g.admitter.Arrive(admitter.Request{
 		ID:           g.last,
 		Kind:         c.kind,
@@ -228,6 +228,7 @@
 			delete(g.waiters, decision.ID)
 		}
 	}
+	g.schedule()
 }
 
 // slotCount returns the announced number of slots.
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -58,10 +58,11 @@
 func (g *gate) setLimit(limit float64) (sent int, since time.Duration, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.limited && g.limit == limit {
+	now := g.clock.Now()
+	if !g.admitter.Limit(limit, now) {
 		return 0, 0, false
 	}
-	g.limit, g.limited = limit, true
+	g.deliver(g.admitter.Tick(now))
 	sent, since = g.countSent()
 	return sent, since, true
 }
@@ -70,14 +71,58 @@
 func (g *gate) removeLimit() (sent int, since time.Duration, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.limited {
+	decisions, changed := g.admitter.Lift(g.clock.Now())
+	if !changed {
 		return 0, 0, false
 	}
-	g.limit, g.limited = 0, false
+	g.deliver(decisions)
 	sent, since = g.countSent()
 	return sent, since, true
 }
 
+// inherit adopts the limit that an ingress was told, for as long as the backend server itself
+// has not shown whether it names one: this node may have been restarted since.
+func (g *gate) inherit(c call) {
+	if c.limit != nil && g.admitter.Inherit(*c.limit, g.clock.Now()) {
+		g.countSent()
+	}
+}
+
+// describeLimit returns the value of HeaderLimit, empty if it is not known, and the time for which
+// the limit keeps a new request waiting.
+func (g *gate) describeLimit() (limit string, pause time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rate, limited, known := g.admitter.Rate()
+	switch {
+	case limited:
+		return strconv.FormatFloat(rate, 'f', -1, 64), g.admitter.Pause(g.clock.Now())
+	case known:
+		return fleet.LimitNone, 0
+	default:
+		return "", 0
+	}
+}
+
+// schedule has the queue served when the limit allows the next request. The caller holds the
+// gate's lock.
+func (g *gate) schedule() {
+	if g.pause != nil {
+		g.pause.Stop()
+		g.pause = nil
+	}
+	if wait, waiting := g.admitter.Next(g.clock.Now()); waiting {
+		g.pause = g.clock.AfterFunc(wait, g.tick)
+	}
+}
+
+// tick serves the queue as far as the limit allows.
+func (g *gate) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.admitter.Tick(g.clock.Now()))
+}
+
 // countSent returns the number of requests sent since the last call, and that time.
 func (g *gate) countSent() (sent int, since time.Duration) {
 	now := g.clock.Now()
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -141,10 +141,7 @@
 			is.True(float64(len(server.arrivals)) >= 0.8*12*limit) // what it takes is not withheld
 			is.True(len(server.arrivals) > 2)                      // its answers can show the end of the limit
 			server.setLimit("")
-			for range 250 {
-				clock.Advance(20 * time.Millisecond)
-				offerEvery(d, clock, "s", 20*time.Millisecond, 20*time.Millisecond, &told)
-			}
+			offerEvery(d, clock, "s", 20*time.Millisecond, 6*time.Second, &told)
 			is.True(server.most(time.Second) > 20)
 		})
 	}
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -37,6 +37,9 @@
 	// HeaderLimit carries the requests a second that the backend server takes from all nodes
 	// together, or LimitNone. Without it, the limit is not known.
 	HeaderLimit = "Cowsliptally-Limit"
+	// HeaderPause carries, between nodes, the milliseconds for which the limit of the backend
+	// server keeps a new request waiting.
+	HeaderPause = "Cowsliptally-Pause"
 	// HeaderRevision carries the configuration revision of the answering node.
 	HeaderRevision = "Cowsliptally-Revision"
 	// HeaderBodyLength carries the length of the answer's body between nodes, in bytes.
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -8,6 +8,10 @@
 	InFlight int
 	Queued   int
 	Slots    int
+	// Limit is the value of HeaderLimit; empty if the owner does not know the limit.
+	Limit string
+	// Pause is the time for which the limit keeps a new request waiting.
+	Pause time.Duration
 	// At is the time when the report was received, by the receiver's clock.
 	At time.Time
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -148,6 +148,9 @@
 	if !s.target.IsZero() {
 		header.Set(fleet.HeaderTarget, strconv.FormatInt(s.target.Sub(now).Milliseconds(), 10))
 	}
+	if limit := f.picker.Limit(backend.ID); limit != "" {
+		header.Set(fleet.HeaderLimit, limit)
+	}
 	if s.retryCost > 0 {
 		header.Set(fleet.HeaderRetryCost, strconv.FormatFloat(s.retryCost, 'f', -1, 64))
 	}
@@ -256,11 +259,17 @@
 	if evidence, err := strconv.ParseFloat(header.Get(fleet.HeaderEvidence), 64); err == nil {
 		f.observer.ApplyOwnerEvidence(backend.Service, backend.ID, evidence)
 	}
+	pause, err := strconv.ParseInt(header.Get(fleet.HeaderPause), 10, 32)
+	if err != nil {
+		pause = 0
+	}
 	f.picker.Report(fleet.Load{
 		Backend:  backend.ID,
 		InFlight: inFlight,
 		Queued:   queued,
 		Slots:    slots,
+		Limit:    header.Get(fleet.HeaderLimit),
+		Pause:    time.Duration(pause) * time.Millisecond,
 		At:       f.clock.Now(),
 	})
 }
--- a/forwarder/dependencies.go
+++ b/forwarder/dependencies.go
@@ -23,6 +23,8 @@
 	// Fail ends an attempt that failed, in place of End.
 	Fail(fleet.BackendID)
 	Report(fleet.Load)
+	// Limit returns the limit that was reported last for a backend server, as in HeaderLimit.
+	Limit(fleet.BackendID) string
 }
 
 // Observer receives the results of attempts.
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/jonboulle/clockwork"
 
+	"cowsliptally.example/cowsliptally/balancer"
 	"cowsliptally.example/cowsliptally/broadcaster"
 	"cowsliptally.example/cowsliptally/deduplicator"
 	"cowsliptally.example/cowsliptally/dispatcher"
@@ -31,12 +32,13 @@
 	samples   []fleet.Sample
 	events    []fleet.Event
 	failed    int
+	loads     *balancer.Balancer
 	forwarder *forwarder.Forwarder
 	caller    *httptest.Server
 }
 
 func newRig(t testing.TB, options ...forwarder.Option) *rig {
-	r := &rig{t: t, members: make(map[fleet.NodeID]fleet.Member)}
+	r := &rig{t: t, members: make(map[fleet.NodeID]fleet.Member), loads: balancer.New()}
 	r.addIngress("ingress", options...)
 	return r
 }
@@ -134,7 +136,8 @@
 	defer r.mu.Unlock()
 	r.failed++
 }
-func (r *rig) Report(fleet.Load) {}
+func (r *rig) Report(report fleet.Load)        { r.loads.Report(report) }
+func (r *rig) Limit(id fleet.BackendID) string { return r.loads.Limit(id) }
 
 func (*rig) LLR(fleet.BackendID) float64 { return 0 }
 
--- a/forwarder/select_test.go
+++ b/forwarder/select_test.go
@@ -28,6 +28,7 @@
 func (e *fakeFleet) End(fleet.BackendID)                        {}
 func (e *fakeFleet) Fail(fleet.BackendID)                       {}
 func (e *fakeFleet) Report(fleet.Load)                          {}
+func (e *fakeFleet) Limit(fleet.BackendID) string               { return "" }
 func (e *fakeFleet) Member(id fleet.NodeID) (fleet.Member, bool) {
 	state := fleet.MemberAlive
 	if e.suspects[id] {
