Keep a backend server that left out of use when its owner restarts

What callers saw: a backend server that was leaving got requests again, and they were cut off when it ended.

Cause: the record of leaves was in the owner's memory. A late announcement of a ready backend server that reached the restarted owner registered it again, with a sequence number above the one with which it had left, and all nodes took it as ready.

The mark that a backend server left is now part of its entry in all tables. A newer entry from the node of the same VM does not remove it for ten leases, and the owner takes it over from its table, or from the first node that tells it. A backend server announced by another VM has moved and works at once; identifiers may be used again as before. Nodes of older builds ignore the new field, and see the entry as draining.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,7 +138,7 @@
 }
 
 func (d *Daemon) buildMembership() {
-	d.roster = roster.New(roster.WithClock(d.clock))
+	d.roster = roster.New(roster.WithClock(d.clock), roster.WithLeftRetention(registrar.RemovalLeases*d.set.Lease))
 	d.registrar = registrar.New(d.self.ID, d.self.Zone,
 		registrar.WithClock(d.clock),
 		registrar.WithCounter(inFlight{d}),
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -44,6 +44,9 @@
 	State BackendState
 	// Sequence increases with each change by the owner.
 	Sequence uint64
+	// Left is set once the backend server has said that it leaves. It is kept until the backend
+	// server is gone, also if its owner is restarted and announces it again.
+	Left bool
 }
 
 // WithState returns a copy in another state with the next sequence number.
@@ -53,9 +56,18 @@
 	return b
 }
 
+// WithLeft returns a copy that takes no new requests because the backend server leaves.
+func (b Backend) WithLeft() Backend {
+	b.Left = true
+	if b.State != BackendGone {
+		b.State = BackendDraining
+	}
+	return b
+}
+
 // AcceptsRequests reports whether new requests may be sent to the backend server.
 func (b Backend) AcceptsRequests() bool {
-	return b.State == BackendReady || b.State == BackendStarting
+	return !b.Left && (b.State == BackendReady || b.State == BackendStarting)
 }
 
 // Key returns the identifier under which an index holds the backend server.
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -141,7 +141,7 @@
 // no more work.
 func backendMessage(b fleet.Backend) *cowsliptallyv1.BackendServer {
 	if !b.AcceptsRequests() {
-		b = fleet.Backend{ID: b.ID, Owner: b.Owner, State: b.State, Sequence: b.Sequence}
+		b = fleet.Backend{ID: b.ID, Owner: b.Owner, State: b.State, Sequence: b.Sequence, Left: b.Left}
 	}
 	return translator.BackendToMessage(b)
 }
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -72,6 +72,41 @@
 	})
 }
 
+// TestBackendServerThatLeftIsNotUsedAfterItsOwnerRestarts kills the owner after the departure has
+// spread. A late announcement reaches its next start before and after it joins.
+func TestBackendServerThatLeftIsNotUsedAfterItsOwnerRestarts(t *testing.T) {
+	for _, wait := range []time.Duration{0, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newNetwork()
+			defer w.stopAll()
+			nodes := w.fleetOf(16)
+			time.Sleep(10 * time.Second)
+			is.NoErr(nodes[3].announce("b1", "ledger", ready))
+			time.Sleep(2500 * time.Millisecond)
+			_, err := nodes[3].registrar.Leave(context.Background(), connect.NewRequest(&cowsliptallyv1.LeaveRequest{Id: "b1"}))
+			is.NoErr(err)
+			time.Sleep(2 * time.Second)
+			w.kill(nodes[3])
+			nodes[3] = w.start("again", address(3), address(0), address(1))
+			time.Sleep(wait)
+			_ = nodes[3].announce("b1", "ledger", ready)
+			for range 5 {
+				for i, n := range nodes {
+					if i != 3 {
+						is.Equal(len(n.roster.Backends("ledger")), 0)
+					}
+				}
+				time.Sleep(time.Second)
+				_ = nodes[3].announce("b1", "ledger", ready)
+			}
+			is.Equal(len(nodes[3].roster.Backends("ledger")), 0)
+			backend, _ := nodes[3].registrar.Backend("b1")
+			is.True(!backend.AcceptsRequests())
+		})
+	}
+}
+
 func TestKilledNodeIsDeclaredDead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -50,7 +50,7 @@
 	if !found {
 		return fault.New("leave", KindUnknown, "backend server %q is not on this VM", id)
 	}
-	r.drain(e, "leaves")
+	r.recordLeft(e, "leaves")
 	return nil
 }
 
@@ -65,14 +65,20 @@
 	if !found {
 		e = &registration{}
 		announced.Sequence = r.firstSequence(announced.ID, m.GetSequence())
+		reason := "announced"
+		if r.directory != nil && r.directory.HasLeft(announced.ID, r.node) {
+			// It left before this node was restarted.
+			announced, e.left = announced.WithLeft(), true
+			reason = "announced, but left before"
+		}
 		r.entries[announced.ID] = e
-		r.change(e, announced, "announced")
+		r.change(e, announced, reason)
 	}
 	if e.left && announced.AcceptsRequests() {
 		return 0, fault.New("announce", KindLeft, "backend server %q left and cannot come back", announced.ID)
 	}
 	e.expires = r.clock.Now().Add(r.lease)
-	announced.Sequence = e.backend.Sequence
+	announced.Sequence, announced.Left = e.backend.Sequence, e.backend.Left
 	if announced != e.backend {
 		announced.Sequence++
 		r.change(e, announced, "announced")
--- a/registrar/options.go
+++ b/registrar/options.go
@@ -26,6 +26,8 @@
 type Directory interface {
 	// Backend returns the fleet's entry of a backend server.
 	Backend(fleet.BackendID) (fleet.Backend, bool)
+	// HasLeft reports whether a backend server said lately that it leaves the VM of an owner.
+	HasLeft(id fleet.BackendID, owner fleet.NodeID) bool
 }
 
 // Counter counts requests.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,10 @@
 // starts above every number that the previous one may still use.
 const ownerSequenceStep = 1 << 32
 
+// RemovalLeases is the number of leases after which a backend server that is gone is forgotten,
+// and its identifier may be used again although it left.
+const RemovalLeases = 10
+
 // Registrar holds the backend servers that announced themselves to this node. It
 // is safe for concurrent use.
 type Registrar struct {
@@ -145,7 +149,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range r.sortedIDs() {
-		r.drain(r.entries[id], "node leaves")
+		e := r.entries[id]
+		e.left = true
+		if e.backend.State != fleet.BackendDraining && e.backend.State != fleet.BackendGone {
+			r.change(e, e.backend.WithState(fleet.BackendDraining), "node leaves")
+		}
 	}
 }
 
@@ -156,6 +164,7 @@
 //     overridden by the own one with a higher sequence number if the backend server has
 //     a lease here or the entry has this node as owner.
 //   - Otherwise such an entry has another owner and ends the registration here.
+//   - If such an entry says that the backend server left, it is taken as leaving here too.
 func (r *Registrar) ResolveConflict(received fleet.Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,6 +176,9 @@
 	if received.Sequence < e.backend.Sequence || received == e.backend {
 		return
 	}
+	if received.Left && received.State != fleet.BackendGone {
+		r.recordLeft(e, "left, by another node")
+	}
 	if received.Owner != r.node && !r.leased(e) {
 		delete(r.entries, received.ID)
 		return
@@ -188,12 +200,13 @@
 	return e.backend.State != fleet.BackendGone && r.clock.Now().Before(e.expires)
 }
 
-func (r *Registrar) drain(e *registration, reason string) {
+// recordLeft records that the backend server leaves for good.
+func (r *Registrar) recordLeft(e *registration, reason string) {
 	e.left = true
-	if e.backend.State == fleet.BackendDraining || e.backend.State == fleet.BackendGone {
+	if e.backend.Left || e.backend.State == fleet.BackendGone {
 		return
 	}
-	r.change(e, e.backend.WithState(fleet.BackendDraining), reason)
+	r.change(e, e.backend.WithState(fleet.BackendDraining).WithLeft(), reason)
 }
 
 func (r *Registrar) change(e *registration, b fleet.Backend, reason string) {
@@ -218,11 +231,10 @@
 	}
 }
 
-// removeGone removes gone backend servers whose leases expired more than ten lease
-// durations ago.
+// removeGone removes gone backend servers whose leases expired more than RemovalLeases ago.
 func (r *Registrar) removeGone(now time.Time) {
 	for id, e := range r.entries {
-		if e.backend.State == fleet.BackendGone && now.Sub(e.expires) > 10*r.lease {
+		if e.backend.State == fleet.BackendGone && now.Sub(e.expires) > RemovalLeases*r.lease {
 			delete(r.entries, id)
 		}
 	}
--- a/roster/compare.go
+++ b/roster/compare.go
@@ -4,6 +4,10 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
+// leftMark makes the hashes differ between versions of which only one says that the backend
+// server left.
+const leftMark = " left"
+
 // EntrySet is a set of nodes and backend servers.
 type EntrySet struct {
 	Members  []fleet.Member
@@ -69,5 +73,9 @@
 func (r *Roster) toggleBackend(i uint32) {
 	e := &r.entries[i]
 	id := hashID(kindBackend, e.id)
-	r.buckets.toggle(id, hashVersion(id, e.sequence, r.strings.value(e.owner)))
+	writer := r.strings.value(e.owner)
+	if e.left {
+		writer += leftMark
+	}
+	r.buckets.toggle(id, hashVersion(id, e.sequence, writer))
 }
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -21,6 +21,8 @@
 	// tombstoneSince is when the entry became a tombstone, as returned by uptimeSeconds; 0
 	// marks an entry that is no tombstone.
 	tombstoneSince uint32
+	// leftSince is when it became known that the backend server left, if left is set.
+	leftSince uint32
 	// sameHash, sameService and sameOwner are the next entries of the chains.
 	sameHash    uint32
 	sameService uint32
@@ -30,6 +32,7 @@
 	// bucket is the fine bucket.
 	bucket uint16
 	state  fleet.BackendState
+	left   bool
 	used   bool
 	// compared is false once a tombstone is too old to be exchanged with other nodes.
 	compared bool
--- a/roster/expire.go
+++ b/roster/expire.go
@@ -68,5 +68,5 @@
 }
 
 func (r *Roster) age(since uint32) time.Duration {
-	return time.Duration(r.uptimeSeconds()-since) * time.Second
+	return time.Duration(int64(r.uptimeSeconds())-int64(since)) * time.Second
 }
--- a/roster/options.go
+++ b/roster/options.go
@@ -6,7 +6,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
-const defaultRetention = time.Hour
+const (
+	defaultRetention = time.Hour
+	// defaultLeftRetention suits the default lease of registrars.
+	defaultLeftRetention = 30 * time.Second
+)
 
 // Option configures a Roster.
 type Option func(*Roster)
@@ -20,3 +24,9 @@
 func WithRetention(retention time.Duration) Option {
 	return func(r *Roster) { r.retention = retention }
 }
+
+// WithLeftRetention sets how long it is remembered that a backend server said that it leaves.
+// It must be over before its identifier may be used again.
+func WithLeftRetention(retention time.Duration) Option {
+	return func(r *Roster) { r.leftRetention = retention }
+}
--- a/roster/put.go
+++ b/roster/put.go
@@ -37,8 +37,9 @@
 	return true
 }
 
-// PutBackend stores a backend server unless the table has this version or a newer one. It
-// reports whether the table changed.
+// PutBackend stores a backend server unless the table has this version or a newer one. A
+// backend server that is known to have left stays so, although its owner was restarted and
+// announces it again. It reports whether the table changed.
 func (r *Roster) PutBackend(b fleet.Backend) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -52,13 +53,63 @@
 			return false
 		}
 		b = withMissingFields(b, old)
-		r.removeBackend(i)
+		if r.hasLeft(i, b.Owner) && b.State != fleet.BackendGone {
+			b = b.WithLeft()
+		}
 	}
-	r.addBackend(b)
+	r.replaceBackend(i, b)
 	return true
 }
 
-func (r *Roster) addBackend(b fleet.Backend) {
+// MarkLeft records that a backend server said that it leaves. It returns the marked entry, and
+// whether that changed it.
+func (r *Roster) MarkLeft(id fleet.BackendID) (fleet.Backend, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.findBackend(string(id))
+	if i == noEntry || r.entries[i].left || r.entries[i].state == fleet.BackendGone {
+		return fleet.Backend{}, false
+	}
+	b := r.backend(i).WithLeft()
+	r.replaceBackend(i, b)
+	return b, true
+}
+
+// HasLeft reports whether a backend server said, within the retention of departures, that it
+// leaves the VM of this owner.
+func (r *Roster) HasLeft(id fleet.BackendID, owner fleet.NodeID) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	i := r.findBackend(string(id))
+	return i != noEntry && r.hasLeft(i, owner)
+}
+
+func (r *Roster) hasLeft(i uint32, owner fleet.NodeID) bool {
+	e := &r.entries[i]
+	return e.left && r.age(e.leftSince) <= r.leftRetention && r.sameVM(fleet.NodeID(r.strings.value(e.owner)), owner)
+}
+
+// sameVM reports whether two nodes may be starts of the node of one VM.
+func (r *Roster) sameVM(a, b fleet.NodeID) bool {
+	first, known := r.members[a]
+	second, found := r.members[b]
+	return a == b || !known || !found || first.PeerAddress == second.PeerAddress
+}
+
+// replaceBackend stores a backend server in place of entry i, which may be noEntry.
+func (r *Roster) replaceBackend(i uint32, b fleet.Backend) {
+	leftSince := r.uptimeSeconds()
+	if i != noEntry {
+		if r.entries[i].left {
+			leftSince = r.entries[i].leftSince
+		}
+		r.removeBackend(i)
+	}
+	r.addBackend(b, leftSince)
+}
+
+// addBackend adds a backend server; leftSince is when it became known that it left.
+func (r *Roster) addBackend(b fleet.Backend, leftSince uint32) {
 	e := entry{
 		id:       string(b.ID),
 		sequence: b.Sequence,
@@ -68,12 +119,16 @@
 		address:  packAddress(b.Address, r.strings),
 		slots:    uint16(min(b.Slots, math.MaxUint16)),
 		state:    b.State,
+		left:     b.Left,
 		used:     true,
 		compared: true,
 	}
 	if b.State == fleet.BackendGone {
 		e.tombstoneSince = r.uptimeSeconds()
 	}
+	if b.Left {
+		e.leftSince = leftSince
+	}
 	hash := hashID(kindBackend, e.id)
 	e.bucket = uint16(fineBucket(hash))
 	e.sameHash = noEntry
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,6 +19,8 @@
 	clock     clockwork.Clock
 	start     time.Time
 	retention time.Duration
+	// leftRetention is how long departures of backend servers are remembered.
+	leftRetention time.Duration
 
 	mu      sync.RWMutex
 	strings *interner
@@ -49,6 +51,9 @@
 	r := &Roster{
 		clock:     clockwork.NewRealClock(),
 		retention: defaultRetention,
+
+		leftRetention: defaultLeftRetention,
+
 		strings:   newInterner(),
 		members:   make(map[fleet.NodeID]memberEntry),
 		byHash:    make(map[uint64]uint32),
@@ -165,6 +170,7 @@
 		Slots:    int(e.slots),
 		State:    e.state,
 		Sequence: e.sequence,
+		Left:     e.left,
 	}
 }
 
--- a/translator/member.go
+++ b/translator/member.go
@@ -16,6 +16,7 @@
 		Slots:    uint32(b.Slots),
 		State:    cowsliptallyv1.BackendState(b.State),
 		Sequence: b.Sequence,
+		Left:     b.Left,
 	}
 }
 
@@ -30,6 +31,7 @@
 		Slots:    int(m.GetSlots()),
 		State:    fleet.BackendState(m.GetState()),
 		Sequence: m.GetSequence(),
+		Left:     m.GetLeft(),
 	}
 }
 
