Send nothing to a backend server that says in an answer that it leaves

What callers saw: requests reached a backend server that had said in its answers that it leaves, until its next announcement, or for as long as its announcements do not reach its node.

Cause: as with the limit, a statement in an answer was passed on and not acted upon.

The owner records the departure before it passes the answer on, refuses what follows, and says so with each refusal. An ingress that is told marks the entry in its own table and spreads it, so a restarted owner that announces the backend server as ready is not used by it.

--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -39,6 +39,7 @@
 		forwarder.WithMaxAnswerSize(d.set.MaxAnswer),
 		forwarder.WithMaxBodySize(d.set.MaxBody),
 		forwarder.WithChecker(d.prober),
+		forwarder.WithDepartures(d.prober),
 		forwarder.WithClock(d.clock),
 		forwarder.WithNoWaitAttempts(d.set.Glances),
 		forwarder.WithDeduplicator(d.deduplicator),
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -31,6 +31,9 @@
 	header.Set(fleet.HeaderTicket, d.sealer.Ticket())
 	revision := d.configurations.Configuration().Revision()
 	header.Set(fleet.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+	if backend, found := d.localBackends.Backend(c.backend); found && backend.Left {
+		header.Set(fleet.HeaderLeaving, "true")
+	}
 	g := d.existingGate(c.backend)
 	if g == nil {
 		return
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -126,6 +126,9 @@
 		return &result{outcome: unknown(fleet.ReasonBroken), message: message}
 	}
 	a.readLimit(response.Header)
+	if response.Header.Get(fleet.HeaderLeaving) == "true" {
+		a.dispatcher.localBackends.ReportLeaving(a.backend.ID)
+	}
 	if shed(response) {
 		exchange.Close()
 		reason := fleet.Reason(cmp.Or(response.Header.Get(fleet.HeaderReason), string(fleet.ReasonBusy)))
--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -18,7 +18,7 @@
 	// TranslateAnswer sets the fleet's own headers: HeaderRequestID to the request that was
 	// answered, and HeaderExecuted and HeaderReason if the backend server refused the
 	// request without running it, and HeaderLimit if the answer shows whether the backend
-	// server limits its requests. An error means that the answer is not from the
+	// server limits its requests, and HeaderLeaving if it leaves. An error means that the answer is not from the
 	// backend server.
 	TranslateAnswer(answer *http.Response) error
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -40,6 +40,12 @@
 
 func (l *local) ReportCrash(fleet.BackendID) {}
 
+func (l *local) ReportLeaving(fleet.BackendID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.backend = l.backend.WithLeft()
+}
+
 func (l *local) ServeHTTP(http.ResponseWriter, *http.Request) {
 	l.mu.Lock()
 	l.ran++
--- a/dispatcher/interfaces.go
+++ b/dispatcher/interfaces.go
@@ -11,6 +11,8 @@
 	Backend(fleet.BackendID) (fleet.Backend, bool)
 	// ReportCrash reports that connections to a backend server are refused.
 	ReportCrash(fleet.BackendID)
+	// ReportLeaving reports that a backend server said in an answer that it leaves.
+	ReportLeaving(fleet.BackendID)
 }
 
 // ConfigurationSource provides the configuration in force.
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -37,6 +37,8 @@
 	// HeaderLimit carries the requests a second that the backend server takes from all nodes
 	// together, or LimitNone. Without it, the limit is not known.
 	HeaderLimit = "Cowsliptally-Limit"
+	// HeaderLeaving carries "true" in the answers of a backend server that leaves.
+	HeaderLeaving = "Cowsliptally-Leaving"
 	// HeaderPause carries, between nodes, the milliseconds for which the limit of the backend
 	// server keeps a new request waiting.
 	HeaderPause = "Cowsliptally-Pause"
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -241,9 +241,12 @@
 	}
 }
 
-// report passes the load in an answer's header to the picker, and the evidence to the
-// observer.
+// report passes the load in an answer's header to the picker, the evidence to the
+// observer, and a departure to the other nodes.
 func (f *Forwarder) report(backend fleet.Backend, header http.Header) {
+	if header.Get(fleet.HeaderLeaving) == "true" {
+		f.departures.ReportLeaving(backend.ID)
+	}
 	inFlight, err := strconv.Atoi(header.Get(fleet.HeaderInFlight))
 	if err != nil {
 		return
--- a/forwarder/dependencies.go
+++ b/forwarder/dependencies.go
@@ -38,6 +38,12 @@
 	Observe(fleet.Sample)
 }
 
+// Departures records which backend servers leave. Directory no longer lists them.
+type Departures interface {
+	// ReportLeaving reports that a backend server said in an answer that it leaves.
+	ReportLeaving(fleet.BackendID)
+}
+
 // Checker checks for the whole fleet whether a node is reachable.
 type Checker interface {
 	RequestProbe(fleet.NodeID)
@@ -56,5 +62,6 @@
 func (noop) AttemptStarted(fleet.ServiceName, fleet.BackendID, fleet.RequestKind) func() {
 	return func() {}
 }
-func (noop) RequestProbe(fleet.NodeID) {}
-func (noop) Record(fleet.Event)        {}
+func (noop) RequestProbe(fleet.NodeID)     {}
+func (noop) ReportLeaving(fleet.BackendID) {}
+func (noop) Record(fleet.Event)            {}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,6 +38,7 @@
 	observer       Observer
 	recorder       Recorder
 	checker        Checker
+	departures     Departures
 	retrier        *retrier.Retrier
 	limiter        *limiter.Limiter
 	deduplicator   *deduplicator.Deduplicator
@@ -73,6 +74,7 @@
 		observer:       noop{},
 		recorder:       noop{},
 		checker:        noop{},
+		departures:     noop{},
 		maxBodySize:    DefaultMaxBodySize,
 		maxAnswerSize:  DefaultMaxAnswerSize,
 		timeout:        DefaultTimeout,
--- a/forwarder/option.go
+++ b/forwarder/option.go
@@ -55,6 +55,11 @@
 	return func(f *Forwarder) { f.observer = observer }
 }
 
+// WithDepartures sets what records the backend servers that leave.
+func WithDepartures(departures Departures) Option {
+	return func(f *Forwarder) { f.departures = departures }
+}
+
 // WithRecorder sets the recorder of events.
 func WithRecorder(recorder Recorder) Option {
 	return func(f *Forwarder) { f.recorder = recorder }
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -48,7 +48,7 @@
 	suspects := quarantiner.New(clockwork.NewRealClock())
 	keys := deduplicator.New(name, clockwork.NewRealClock())
 	options = append([]forwarder.Option{
-		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithQuarantiner(suspects), forwarder.WithDeduplicator(keys),
+		forwarder.WithObserver(r), forwarder.WithRecorder(r), forwarder.WithDepartures(r), forwarder.WithQuarantiner(suspects), forwarder.WithDeduplicator(keys),
 	}, options...)
 	r.forwarder = forwarder.New(name, r, r, r, options...)
 	r.caller = httptest.NewServer(r.forwarder)
@@ -139,6 +139,18 @@
 func (r *rig) Report(report fleet.Load)        { r.loads.Report(report) }
 func (r *rig) Limit(id fleet.BackendID) string { return r.loads.Limit(id) }
 
+// ReportLeaving removes a backend server from the directory.
+func (r *rig) ReportLeaving(id fleet.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, b := range r.backends {
+		if b.ID == id {
+			r.backends = slices.Delete(slices.Clone(r.backends), i, i+1)
+			return
+		}
+	}
+}
+
 func (*rig) LLR(fleet.BackendID) float64 { return 0 }
 
 func (*rig) ApplyOwnerEvidence(fleet.ServiceName, fleet.BackendID, float64) {}
@@ -181,6 +193,12 @@
 	o.backend.State = state
 }
 
+func (o *owner) ReportLeaving(fleet.BackendID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.backend = o.backend.WithLeft()
+}
+
 func (o *owner) ReportCrash(fleet.BackendID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -125,6 +125,18 @@
 	}
 }
 
+// ReportLeaving records that a backend server of any VM said in an answer that it leaves, and
+// queues that for the peers.
+func (p *Prober) ReportLeaving(id fleet.BackendID) {
+	b, changed := p.roster.MarkLeft(id)
+	if !changed {
+		return
+	}
+	event := fleet.NewEvent(fleet.EventBackendState, string(id), b.State.String()+": leaves, by its answer")
+	p.journal.Record(event.WithService(b.Service))
+	p.queueBackendChange(b, true)
+}
+
 // queueMemberChange queues a change of a node. Changes that stop or resume requests to it
 // have priority: that it left, died or is suspect, and that it refuted a suspicion.
 func (p *Prober) queueMemberChange(m fleet.Member) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -134,6 +134,15 @@
 // or address.
 func (r *Registrar) ReportReplaced(id fleet.BackendID) { r.end(id, "replaced by a newer start") }
 
+// ReportLeaving marks a backend server as leaving because it said so in an answer.
+func (r *Registrar) ReportLeaving(id fleet.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, found := r.entries[id]; found {
+		r.recordLeft(e, "leaves, by its answer")
+	}
+}
+
 func (r *Registrar) end(id fleet.BackendID, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -24,7 +24,7 @@
 	fleet.HeaderIdentity, fleet.HeaderEvidence, fleet.HeaderTrial, fleet.HeaderReporter,
 	fleet.HeaderCrashed, fleet.HeaderReachedBackend, fleet.HeaderNoWait,
 	fleet.HeaderForced, fleet.HeaderTarget, fleet.HeaderRetryCost, fleet.HeaderLimit,
-	fleet.HeaderPause,
+	fleet.HeaderPause, fleet.HeaderLeaving,
 }
 
 // RemoveConnectionHeaders removes the headers that concern one connection.
