--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -216,6 +216,9 @@
 // Registrar returns the registrar, to which backend servers of this VM announce themselves.
 func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
 
+// Contact makes this node known to the nodes at these peer addresses, and them to it.
+func (d *Daemon) Contact(ctx context.Context, addresses []string) { d.prober.Contact(ctx, addresses) }
+
 // logHost returns the IP and port of the log service's validated address.
 func logHost(address string) string {
 	parsed, err := url.Parse(address)
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -242,6 +242,25 @@
 	})
 }
 
+// TestNodeThatFoundNoneIsTakenInWhenContacted starts a node without seeds beside a fleet.
+func TestNodeThatFoundNoneIsTakenInWhenContacted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork()
+		defer w.stopAll()
+		nodes := w.fleetOf(8)
+		alone := w.start("alone", address(20))
+		time.Sleep(20 * time.Second)
+		is.True(!nodes[5].sees(alone, fleet.MemberAlive))
+		nodes[2].prober.Contact(context.Background(), []string{address(20), address(5)})
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			is.True(n.sees(alone, fleet.MemberAlive))
+			is.True(alone.sees(n, fleet.MemberAlive))
+		}
+	})
+}
+
 func TestUnreachableSeedDoesNotPreventJoin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -39,9 +40,21 @@
 	return ctx.Err()
 }
 
-// AddSeeds adds peer addresses through which the node joins the fleet. Call it before Run.
+// AddSeeds adds peer addresses through which the node joins the fleet, and reconnects to it.
 func (p *Prober) AddSeeds(addresses ...string) {
-	p.seeds = append(p.seeds, addresses...)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range addresses {
+		if !slices.Contains(p.seeds, address) {
+			p.seeds = append(p.seeds, address)
+		}
+	}
+}
+
+// Contact adds peer addresses and probes some that are not those of live peers.
+func (p *Prober) Contact(ctx context.Context, addresses []string) {
+	p.AddSeeds(addresses...)
+	p.probeSeeds(ctx)
 }
 
 // LastExchange returns the time of the latest exchange with another node, or the zero time if
@@ -80,6 +93,12 @@
 // join probes some seeds concurrently and reports whether this node has a peer or there
 // is no other seed.
 func (p *Prober) join(ctx context.Context) bool {
+	probed := p.probeSeeds(ctx)
+	return len(p.peers()) > 0 || probed == 0
+}
+
+// probeSeeds probes some seeds that are not live peers concurrently, and returns how many.
+func (p *Prober) probeSeeds(ctx context.Context) (probed int) {
 	seeds := p.unconnectedSeeds()
 	p.shuffle(seeds)
 	seeds = seeds[:min(len(seeds), joinSeeds)]
@@ -93,7 +112,7 @@
 	for range seeds {
 		<-done
 	}
-	return len(p.peers()) > 0 || len(seeds) == 0
+	return len(seeds)
 }
 
 // reconnect probes one seed that is no live node's address, and one dead node.
@@ -118,6 +137,8 @@
 	for _, m := range p.peers() {
 		seen[m.PeerAddress] = true
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var seeds []string
 	for _, address := range p.seeds {
 		if !seen[address] {
