Take a backend server that moved to another VM as working

The mark that a backend server left its VM reached the owner on another VM, to which it had moved and where it had announced itself before that entry came: the new owner took it as leaving there too.

The owner takes a mark only if its own table has it for this VM, as the tables do. TestMovedBackendServerIsNotTakenAsLeft fails before for another VM and passes after for both. Two literals and a comment are laid out anew.

--- a/dispatcher/dialect.go
+++ b/dispatcher/dialect.go
@@ -16,9 +16,9 @@
 	// between nodes have been removed.
 	TranslateRequest(head http.Header, backend fleet.Backend, attempt int, remaining time.Duration)
 	// TranslateAnswer sets the fleet's own headers: HeaderRequestID to the request that was
-	// answered, and HeaderExecuted and HeaderReason if the backend server refused the
-	// request without running it, and HeaderLimit if the answer shows whether the backend
-	// server limits its requests, and HeaderLeaving if it leaves. An error means that the answer is not from the
+	// answered, HeaderExecuted and HeaderReason if the backend server refused the request
+	// without running it, HeaderLimit if the answer shows whether the backend server limits its
+	// requests, and HeaderLeaving if it leaves. An error means that the answer is not from the
 	// backend server.
 	TranslateAnswer(answer *http.Response) error
 }
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -38,12 +38,11 @@
 
 func newGate(slots int, usage *admitter.Usage, clock clockwork.Clock) *gate {
 	return &gate{
-		clock:    clock,
-		admitter: admitter.New(slots, admitter.WithUsage(usage)),
-		slots:    slots,
-		waiters:  make(map[admitter.ID]chan admitter.Decision),
-		running:  make(map[admitter.ID]string),
-
+		clock:      clock,
+		admitter:   admitter.New(slots, admitter.WithUsage(usage)),
+		slots:      slots,
+		waiters:    make(map[admitter.ID]chan admitter.Decision),
+		running:    make(map[admitter.ID]string),
 		limitSince: clock.Now(),
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -173,7 +173,7 @@
 //     overridden by the own one with a higher sequence number if the backend server has
 //     a lease here or the entry has this node as owner.
 //   - Otherwise such an entry has another owner and ends the registration here.
-//   - If such an entry says that the backend server left, it is taken as leaving here too.
+//   - If such an entry says that the backend server left this VM, it is taken as leaving here too.
 func (r *Registrar) ResolveConflict(received fleet.Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -185,7 +185,7 @@
 	if received.Sequence < e.backend.Sequence || received == e.backend {
 		return
 	}
-	if received.Left && received.State != fleet.BackendGone {
+	if received.Left && r.directory != nil && r.directory.HasLeft(received.ID, r.node) {
 		r.recordLeft(e, "left, by another node")
 	}
 	if received.Owner != r.node && !r.leased(e) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -145,3 +145,30 @@
 		})
 	}
 }
+
+// TestMovedBackendServerIsNotTakenAsLeft has the entry of the VM that it left arrive late, and that
+// of an earlier start of this node.
+func TestMovedBackendServerIsNotTakenAsLeft(t *testing.T) {
+	for _, tc := range []struct {
+		name, address string
+		state         fleet.BackendState
+	}{
+		{"another VM", "10.0.0.2:1", fleet.BackendReady},
+		{"this VM", "10.0.0.1:1", fleet.BackendDraining},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			table := roster.New()
+			table.PutMember(fleet.Member{ID: "n1", Incarnation: 1, PeerAddress: "10.0.0.1:1", State: fleet.MemberAlive})
+			table.PutMember(fleet.Member{ID: "n0", Incarnation: 1, PeerAddress: tc.address, State: fleet.MemberAlive})
+			r, c, _ := newRegistrar(registrar.WithDirectory(table))
+			_, err := r.Announce(context.Background(), announcement(ready, 0))
+			is.NoErr(err)
+			left := fleet.Backend{ID: "b1", Service: "ledger", Owner: "n0", State: fleet.BackendReady, Sequence: 1<<32 + 7}.WithLeft()
+			table.PutBackend(left)
+			r.ResolveConflict(left)
+			is.Equal(c.last().State, tc.state)
+			is.True(c.last().Sequence > left.Sequence)
+		})
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,16 +49,14 @@
 // New returns an empty membership table.
 func New(options ...Option) *Roster {
 	r := &Roster{
-		clock:     clockwork.NewRealClock(),
-		retention: defaultRetention,
-
+		clock:         clockwork.NewRealClock(),
+		retention:     defaultRetention,
 		leftRetention: defaultLeftRetention,
-
-		strings:   newInterner(),
-		members:   make(map[fleet.NodeID]memberEntry),
-		byHash:    make(map[uint64]uint32),
-		byService: make(map[uint32]uint32),
-		byOwner:   make(map[uint32]uint32),
+		strings:       newInterner(),
+		members:       make(map[fleet.NodeID]memberEntry),
+		byHash:        make(map[uint64]uint32),
+		byService:     make(map[uint32]uint32),
+		byOwner:       make(map[uint32]uint32),
 	}
 	for _, option := range options {
 		option(r)
