Compare tables with the nodes that are contacted after a restore

TestNodeThatFoundNoneIsTakenInWhenContacted failed once in three runs: 5 s after the contact the node that had found none did not know all others. Cause: a node compares tables each second only in the first 15 s after it joins; later it hears of nodes that do not change only every 15 s. Ruled out: the contact itself, which was answered.

The contacting node now compares tables with those that answered, until they are equal or three times, as a node that joins does.

--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -51,10 +52,18 @@
 	}
 }
 
-// Contact adds peer addresses and probes some that are not those of live peers.
+// Contact adds peer addresses, probes some that are not those of live peers, and compares
+// tables with these, as each side may know nodes that the other does not.
 func (p *Prober) Contact(ctx context.Context, addresses []string) {
 	p.AddSeeds(addresses...)
-	p.probeSeeds(ctx)
+	reached, _ := p.probeSeeds(ctx)
+	for _, address := range reached {
+		for range joinRounds {
+			if p.compare(ctx, fleet.Member{PeerAddress: address}, joinCalls) {
+				break
+			}
+		}
+	}
 }
 
 // LastExchange returns the time of the latest exchange with another node, or the zero time if
@@ -93,26 +102,31 @@
 // join probes some seeds concurrently and reports whether this node has a peer or there
 // is no other seed.
 func (p *Prober) join(ctx context.Context) bool {
-	probed := p.probeSeeds(ctx)
+	_, probed := p.probeSeeds(ctx)
 	return len(p.peers()) > 0 || probed == 0
 }
 
-// probeSeeds probes some seeds that are not live peers concurrently, and returns how many.
-func (p *Prober) probeSeeds(ctx context.Context) (probed int) {
+// probeSeeds probes some seeds that are not live peers concurrently. It returns those that
+// answered, and how many it probed.
+func (p *Prober) probeSeeds(ctx context.Context) (reached []string, probed int) {
 	seeds := p.unconnectedSeeds()
 	p.shuffle(seeds)
 	seeds = seeds[:min(len(seeds), joinSeeds)]
-	done := make(chan struct{}, len(seeds))
-	for _, address := range seeds {
-		go func() {
-			_, _ = p.probeDirect(ctx, fleet.Member{PeerAddress: address}, p.timeout)
-			done <- struct{}{}
-		}()
+	answered := make([]bool, len(seeds))
+	var probes sync.WaitGroup
+	for i, address := range seeds {
+		probes.Go(func() {
+			_, err := p.probeDirect(ctx, fleet.Member{PeerAddress: address}, p.timeout)
+			answered[i] = err == nil
+		})
 	}
-	for range seeds {
-		<-done
+	probes.Wait()
+	for i, address := range seeds {
+		if answered[i] {
+			reached = append(reached, address)
+		}
 	}
-	return len(seeds)
+	return reached, len(seeds)
 }
 
 // reconnect probes one seed that is no live node's address, and one dead node.
