--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 export NODE=target/cowsliptally-node RECORD=review/1/record.txt TROUBLE=${TROUBLE:-1}
 program=target/review/departed
 [ -x "$NODE" ] && [ -x "$program" ] || { echo "not run: build the deploy file and review/build.sh first"; exit 2; }
-timeout --kill-after=5 118 "$program"
+timeout --kill-after=5 118 "$program" stopping
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/_standins/departed/main.go
+++ b/review/_standins/departed/main.go
@@ -1,5 +1,6 @@
 // Command departed has an upstream leave while the node beside it is stopped and started, as
-// planned, and lets one of the upstream's earlier heartbeats arrive late.
+// planned, and lets one of the upstream's earlier heartbeats arrive late. With the argument
+// stopping the upstream leaves after the node's SIGTERM, with started just after its start.
 package main
 
 import (
@@ -15,28 +16,31 @@
 
 const (
 	config = `{"version":7,"resources":[
-{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","max_connections":1500}},
-{"resource_type":"routes","metadata":{"name":"refund"},"spec":{"host":"a.example","path_prefix":"/refund/","route_kind":"unsafe","timeout_s":12,"target_latency_s":1.5,"priority":1,"service":"ledger","max_attempts":2}},
+{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","max_connections":360}},
+{"resource_type":"routes","metadata":{"name":"refund"},"spec":{"host":"a.example","path_prefix":"/refund/","route_kind":"unsafe","timeout_s":3,"target_latency_s":0.8,"priority":1,"service":"ledger","max_attempts":2}},
 {"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]}`
 
 	// Figures of refund-booking in the site file.
-	meanWork = 550 * time.Millisecond
-	deadline = 12 * time.Second
+	meanWork = 270 * time.Millisecond
+	deadline = 5 * time.Second
 
 	grace        = 6 * time.Second
-	drain        = 2500 * time.Millisecond
+	drain        = 2 * time.Second
 	stableWindow = 3 * time.Second
-	// leavesAfter is when the upstream deregisters, counted from the SIGTERM of its node.
+	// leavesAfter is when the upstream deregisters from a node that stops, counted from the SIGTERM.
 	leavesAfter = time.Second
+	// lateBy is how late the heartbeat arrives at least.
+	lateBy = 2 * time.Second
 	// servesOn is how long the upstream serves after its departure is acknowledged.
 	servesOn = 10 * time.Second
 	// interval is the time between two requests at each of the other nodes.
-	interval = 60 * time.Millisecond
+	interval = 90 * time.Millisecond
 )
 
 func main() {
-	options := rig.Grown(config, "ledger", "ledger", "ledger")
-	os.Exit(rig.Main(options, run))
+	options := rig.Returns(config, "ledger", "ledger", "ledger")
+	started := len(os.Args) > 1 && os.Args[1] == "started"
+	os.Exit(rig.Main(options, func(r *rig.Rig) (bool, error) { return run(r, started) }))
 }
 
 // request is one request of a client.
@@ -47,7 +51,7 @@
 	err    error
 }
 
-func run(r *rig.Rig) (bool, error) {
+func run(r *rig.Rig, started bool) (bool, error) {
 	for _, n := range r.Nodes {
 		n.Upstream.Work = func(*http.Request) time.Duration { return meanWork }
 	}
@@ -61,44 +65,18 @@
 	}
 	time.Sleep(2 * time.Second)
 
-	late := left.Message() // a heartbeat that is on its way for some seconds
-	r.Logf("upstream %s sends a heartbeat that will be late: %s", left.ID(), late)
-	left.Silence()
-	began := time.Now()
-	if r.Trouble {
-		stopped.Signal(syscall.SIGTERM)
-	}
-	time.Sleep(leavesAfter)
-	if !left.Post("deregister", left.Departure()) {
-		return false, fmt.Errorf("the departure was not acknowledged")
+	late := &lateHeartbeat{sender: left}
+	scenario := leaveWhileStopping
+	if started {
+		scenario = leaveAfterStart
 	}
-	acknowledged := time.Now()
-	r.Logf("%s acknowledged that %s is gone", stopped.Name, left.ID())
-	inTouch := acknowledged
-	if r.Trouble {
-		select {
-		case <-stopped.Ended():
-		case <-time.After(time.Until(began.Add(grace))):
-			stopped.Signal(syscall.SIGKILL)
-			<-stopped.Ended()
-		}
-		if err := stopped.WriteSettings(false); err != nil {
-			return false, err
-		}
-		if err := stopped.Start(); err != nil {
-			return false, err
-		}
-		inTouch = time.Now().Add(stableWindow)
-		if !rig.Wait(5*time.Second, stopped.Ready) {
-			return false, fmt.Errorf("%s is not ready after its start", stopped.Name)
-		}
-	} else {
-		time.Sleep(4 * time.Second)
+	acknowledged, inTouch, err := scenario(r, stopped, late)
+	if err != nil {
+		return false, err
 	}
-	if !left.Post("heartbeat", late) {
-		return false, fmt.Errorf("the late heartbeat was not acknowledged")
+	if err := late.arrive(r); err != nil {
+		return false, err
 	}
-	r.Logf("the late heartbeat arrives, %.1f s after it was sent", time.Since(began).Seconds())
 	time.Sleep(time.Until(acknowledged.Add(servesOn)))
 	left.Stop()
 	exited := time.Now()
@@ -109,6 +87,92 @@
 	return check(r, left, requests, acknowledged, inTouch, exited), nil
 }
 
+// leaveWhileStopping has the upstream leave after the SIGTERM of its node, which is then started
+// again. It returns when the departure was acknowledged, and when the node is in touch.
+func leaveWhileStopping(r *rig.Rig, n *rig.Node, late *lateHeartbeat) (acknowledged, inTouch time.Time, err error) {
+	late.send(r)
+	n.Upstream.Silence()
+	if r.Trouble {
+		n.Signal(syscall.SIGTERM)
+	}
+	time.Sleep(leavesAfter)
+	acknowledged, err = leave(r, n)
+	if err != nil || !r.Trouble {
+		return acknowledged, acknowledged, err
+	}
+	waitForEnd(n)
+	err = startAgain(n)
+	return acknowledged, time.Now().Add(stableWindow), err
+}
+
+// leaveAfterStart has the upstream leave just after its node was stopped and started, before its
+// next heartbeat. Its results are those of leaveWhileStopping.
+func leaveAfterStart(r *rig.Rig, n *rig.Node, late *lateHeartbeat) (acknowledged, inTouch time.Time, err error) {
+	inTouch = time.Now()
+	if r.Trouble {
+		n.Signal(syscall.SIGTERM)
+		waitForEnd(n)
+		n.Upstream.Silence()
+		if err := startAgain(n); err != nil {
+			return inTouch, inTouch, err
+		}
+		inTouch = time.Now().Add(stableWindow)
+	}
+	n.Upstream.Silence()
+	late.send(r)
+	acknowledged, err = leave(r, n)
+	return acknowledged, inTouch, err
+}
+
+// lateHeartbeat is a heartbeat that is on its way for some seconds.
+type lateHeartbeat struct {
+	sender  *rig.Upstream
+	content []byte
+	sent    time.Time
+}
+
+func (h *lateHeartbeat) send(r *rig.Rig) {
+	h.content, h.sent = h.sender.Message(), time.Now()
+	r.Logf("upstream %s sends a heartbeat that will be late: %s", h.sender.ID(), h.content)
+}
+
+func (h *lateHeartbeat) arrive(r *rig.Rig) error {
+	time.Sleep(time.Until(h.sent.Add(lateBy)))
+	if !rig.Wait(2*time.Second, func() bool { return h.sender.Post("heartbeat", h.content) }) {
+		return fmt.Errorf("the late heartbeat was not acknowledged")
+	}
+	r.Logf("the late heartbeat arrives, %.1f s after it was sent", time.Since(h.sent).Seconds())
+	return nil
+}
+
+// leave has the upstream beside a node deregister, and returns when that was acknowledged.
+func leave(r *rig.Rig, n *rig.Node) (time.Time, error) {
+	if !rig.Wait(time.Second, func() bool { return n.Upstream.Post("deregister", n.Upstream.Departure()) }) {
+		return time.Time{}, fmt.Errorf("the departure was not acknowledged")
+	}
+	r.Logf("%s acknowledged that %s is gone", n.Name, n.Upstream.ID())
+	return time.Now(), nil
+}
+
+// waitForEnd waits until a node that was stopped has ended, and kills it after the grace time.
+func waitForEnd(n *rig.Node) {
+	ended := n.Ended()
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		n.Signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// startAgain starts a node's next process.
+func startAgain(n *rig.Node) error {
+	if err := n.WriteSettings(false); err != nil {
+		return err
+	}
+	return n.Start()
+}
+
 // sendUntil sends requests at a node until end.
 func sendUntil(r *rig.Rig, n *rig.Node, client int, end <-chan struct{}, group *sync.WaitGroup, mu *sync.Mutex, requests *[]request) {
 	for i := 0; ; i++ {
