--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -107,23 +107,23 @@
 			break
 		}
 		a.updateSourceStatus(err)
-		if err == nil {
-			pause = minPause
-			adopted := a.adopt(document, "source")
-			if document.Revision > read {
-				// Also if it was adopted from another node a moment before: that node need
-				// not notify the same ones.
-				read = document.Revision
-				a.requestNotification()
-			}
-			if adopted {
-				a.sleep(ctx, changePause)
-			}
+		adopted := a.adopt(document, "source")
+		if document.Revision > read {
+			// Also if it was adopted from another node a moment before: that node need
+			// not notify the same ones.
+			read = document.Revision
+			a.requestNotification()
+		}
+		if err != nil {
+			a.queryPeers(ctx)
+			a.sleep(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, maxPause)
 			continue
 		}
-		a.queryPeers(ctx)
-		a.sleep(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, maxPause)
+		pause = minPause
+		if adopted {
+			a.sleep(ctx, changePause)
+		}
 	}
 	return ctx.Err()
 }
--- a/adopter/adopter_test.go
+++ b/adopter/adopter_test.go
@@ -16,12 +16,18 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
+// partial is a document that comes with an error.
+type partial struct{ adopter.Document }
+
 // source returns the documents and errors that a test sends to next.
 type source struct{ next chan any }
 
 func (s *source) Next(ctx context.Context, _ fleet.Revision) (adopter.Document, error) {
 	select {
 	case result := <-s.next:
+		if partial, ok := result.(partial); ok {
+			return partial.Document, errors.New("cut")
+		}
 		if err, failed := result.(error); failed {
 			return adopter.Document{}, err
 		}
@@ -110,6 +116,14 @@
 	is.Equal(a.Document().Revision, fleet.Revision(5))
 }
 
+// TestDocumentBesideAnErrorIsAdopted guards against an old configuration while the source
+// cannot tell whether it sent the newest one.
+func TestDocumentBesideAnErrorIsAdopted(t *testing.T) {
+	a, s := start(t)
+	s.next <- partial{document(5)}
+	waitFor(t, func() bool { return a.Document().Revision == 5 && !a.SourceReachable() })
+}
+
 // TestFetchesFromPeersWhileSourceFails guards against a stale configuration while the
 // source is unreachable from one node only.
 func TestFetchesFromPeersWhileSourceFails(t *testing.T) {
--- a/adopter/interfaces.go
+++ b/adopter/interfaces.go
@@ -15,7 +15,8 @@
 // Source holds the configuration outside the fleet.
 type Source interface {
 	// Next waits for a document newer than the known revision and returns it. It may
-	// return the zero document when none came within a limit of its own.
+	// return the zero document when none came within a limit of its own. A document that
+	// comes with an error is valid, but there may be a newer one.
 	Next(ctx context.Context, known fleet.Revision) (Document, error)
 	// Decode decodes a document, which another node may have received.
 	Decode(Document) (fleet.Configuration, error)
