--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,7 @@
 	// settle is the time after the start in which this node does not read the source.
 	settle     time.Duration
 	discover   func(context.Context) ([]string, error)
+	departures registrar.Departures
 	dialect    dispatcher.Dialect
 	allowance  func(nodes int) retrier.Allowance
 	wrapCaller func(http.Handler) http.Handler
@@ -139,12 +140,17 @@
 
 func (d *Daemon) buildMembership() {
 	d.roster = roster.New(roster.WithClock(d.clock), roster.WithLeftRetention(registrar.RemovalLeases*d.set.Lease))
-	d.registrar = registrar.New(d.self.ID, d.self.Zone,
+	options := []registrar.Option{
 		registrar.WithClock(d.clock),
 		registrar.WithCounter(inFlight{d}),
 		registrar.WithDirectory(d.roster),
 		registrar.WithLease(d.set.Lease),
-		registrar.WithJournal(d.journal))
+		registrar.WithJournal(d.journal),
+	}
+	if d.departures != nil {
+		options = append(options, registrar.WithDepartures(d.departures))
+	}
+	d.registrar = registrar.New(d.self.ID, d.self.Zone, options...)
 	d.prober = prober.New(d.self, d.roster, messenger.New(messenger.WithHTTPClient(d.client)),
 		prober.WithClock(d.clock),
 		prober.WithJournal(d.journal),
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -11,6 +11,7 @@
 
 	"cowsliptally.example/cowsliptally/adopter"
 	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/registrar"
 	"cowsliptally.example/cowsliptally/retrier"
 )
 
@@ -45,6 +46,12 @@
 	return func(d *Daemon) { d.discover = discover }
 }
 
+// WithDepartures sets where the departures of this VM's backend servers are recorded before they
+// are acknowledged.
+func WithDepartures(departures registrar.Departures) Option {
+	return func(d *Daemon) { d.departures = departures }
+}
+
 // WithDialect sets the headers of backend servers; without it they are the fleet's own.
 func WithDialect(dialect dispatcher.Dialect) Option {
 	return func(d *Daemon) { d.dialect = dialect }
--- a/registrar/error.go
+++ b/registrar/error.go
@@ -12,6 +12,9 @@
 	KindLeft Kind = "left"
 	// KindUnknown means that the backend server is not registered on this VM.
 	KindUnknown Kind = "unknown"
+	// KindUnavailable means that departures could not be read or recorded: the call may be
+	// repeated.
+	KindUnavailable Kind = "unavailable"
 )
 
 // Error is a refused operation.
--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -13,10 +13,22 @@
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
 )
 
+// Ready waits until it is known which backend servers left before the node's start; until then
+// none is registered.
+func (r *Registrar) Ready(ctx context.Context) error {
+	if err := r.departures.Ready(ctx); err != nil {
+		return fault.New("announce", KindUnavailable, "earlier departures are not known: %w", err)
+	}
+	return nil
+}
+
 // Announce registers a backend server or renews its lease.
 func (r *Registrar) Announce(
-	_ context.Context, request *connect.Request[cowsliptallyv1.AnnounceRequest],
+	ctx context.Context, request *connect.Request[cowsliptallyv1.AnnounceRequest],
 ) (*connect.Response[cowsliptallyv1.AnnounceResponse], error) {
+	if err := r.Ready(ctx); err != nil {
+		return nil, connectError(err)
+	}
 	sequence, err := r.announce(request.Msg)
 	if err != nil {
 		return nil, connectError(err)
@@ -28,12 +40,15 @@
 }
 
 // Leave marks a backend server as draining, so that it gets no new work, and returns
-// the number of requests in flight on it.
+// the number of requests in flight on it. The answer is given once the departure is recorded.
 func (r *Registrar) Leave(
-	_ context.Context, request *connect.Request[cowsliptallyv1.LeaveRequest],
+	ctx context.Context, request *connect.Request[cowsliptallyv1.LeaveRequest],
 ) (*connect.Response[cowsliptallyv1.LeaveResponse], error) {
 	id := fleet.BackendID(request.Msg.GetId())
-	if err := r.leave(id); err != nil {
+	if _, found := r.Backend(id); !found {
+		return nil, connectError(fault.New("leave", KindUnknown, "backend server %q is not on this VM", id))
+	}
+	if err := r.RecordDeparture(ctx, id); err != nil {
 		return nil, connectError(err)
 	}
 	response := &cowsliptallyv1.LeaveResponse{}
@@ -43,15 +58,28 @@
 	return connect.NewResponse(response), nil
 }
 
-func (r *Registrar) leave(id fleet.BackendID) error {
+// RecordDeparture records that a backend server left this VM, whether it is registered or not,
+// and marks it as draining. An error of KindUnavailable means that the departure may not
+// outlive the process.
+func (r *Registrar) RecordDeparture(ctx context.Context, id fleet.BackendID) error {
+	r.markLeft(func(registered fleet.BackendID) bool { return registered == id })
+	if err := r.departures.Record(ctx, id); err != nil {
+		return fault.New("leave", KindUnavailable, "departure of backend server %q is not recorded: %w", id, err)
+	}
+	// Also those that were registered meanwhile, and earlier starts that it stands for.
+	r.markLeft(r.departures.Contains)
+	return nil
+}
+
+// markLeft marks the registered backend servers that a function selects as leaving.
+func (r *Registrar) markLeft(selected func(fleet.BackendID) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, found := r.entries[id]
-	if !found {
-		return fault.New("leave", KindUnknown, "backend server %q is not on this VM", id)
+	for _, id := range r.sortedIDs() {
+		if selected(id) {
+			r.recordLeft(r.entries[id], "leaves")
+		}
 	}
-	r.recordLeft(e, "leaves")
-	return nil
 }
 
 func (r *Registrar) announce(m *cowsliptallyv1.AnnounceRequest) (uint64, error) {
@@ -66,8 +94,8 @@
 		e = &registration{}
 		announced.Sequence = r.firstSequence(announced.ID, m.GetSequence())
 		reason := "announced"
-		if r.directory != nil && r.directory.HasLeft(announced.ID, r.node) {
-			// It left before this node was restarted.
+		if r.hasLeft(announced.ID) {
+			// It left before this node was restarted, or before it was announced here.
 			announced, e.left = announced.WithLeft(), true
 			reason = "announced, but left before"
 		}
@@ -86,6 +114,11 @@
 	return e.backend.Sequence, nil
 }
 
+// hasLeft reports whether a backend server left this VM, by the record or by another node.
+func (r *Registrar) hasLeft(id fleet.BackendID) bool {
+	return r.departures.Contains(id) || r.directory != nil && r.directory.HasLeft(id, r.node)
+}
+
 // firstSequence returns a sequence number above all those of earlier owners.
 func (r *Registrar) firstSequence(id fleet.BackendID, sequence uint64) uint64 {
 	if r.directory != nil {
@@ -144,6 +177,8 @@
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	case KindLeft:
 		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case KindUnavailable:
+		return connect.NewError(connect.CodeUnavailable, err)
 	default:
 		return connect.NewError(connect.CodeNotFound, err)
 	}
--- a/registrar/options.go
+++ b/registrar/options.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -36,6 +37,18 @@
 	InFlight(fleet.BackendID) int
 }
 
+// Departures are the backend servers that left this VM, recorded where they outlive the process
+// of the node.
+type Departures interface {
+	// Ready waits until the departures that earlier processes recorded are known.
+	Ready(ctx context.Context) error
+	// Contains reports whether a backend server left, as far as is known.
+	Contains(fleet.BackendID) bool
+	// Record records a departure, which may stand for earlier starts of the backend server as
+	// well. After an error it may not outlive the process.
+	Record(ctx context.Context, id fleet.BackendID) error
+}
+
 // Journal records events.
 type Journal interface {
 	Record(fleet.Event)
@@ -60,6 +73,12 @@
 	return func(r *Registrar) { r.directory = directory }
 }
 
+// WithDepartures sets where departures are recorded before they are acknowledged. Without it they
+// are only kept by this process and by nodes that were told.
+func WithDepartures(departures Departures) Option {
+	return func(r *Registrar) { r.departures = departures }
+}
+
 // WithCounter sets the counter of the requests in flight.
 func WithCounter(counter Counter) Option {
 	return func(r *Registrar) { r.counter = counter }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -30,6 +30,7 @@
 	// sweepInterval is the time between two checks for expired leases.
 	sweepInterval time.Duration
 	directory     Directory
+	departures    Departures
 	counter       Counter
 	journal       Journal
 
@@ -50,11 +51,12 @@
 // New returns a registrar for the backend servers of a node.
 func New(node fleet.NodeID, zone fleet.Zone, options ...Option) *Registrar {
 	r := &Registrar{
-		node:    node,
-		zone:    zone,
-		clock:   clockwork.NewRealClock(),
-		lease:   defaultLease,
-		entries: make(map[fleet.BackendID]*registration),
+		node:       node,
+		zone:       zone,
+		clock:      clockwork.NewRealClock(),
+		lease:      defaultLease,
+		departures: noDepartures{},
+		entries:    make(map[fleet.BackendID]*registration),
 	}
 	for _, option := range options {
 		option(r)
