--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -108,6 +108,7 @@
 func (a *attempt) run(ctx context.Context) *result {
 	exchange, err := a.dispatcher.pooler.Send(ctx, pooler.Message{
 		Address: a.backend.Address,
+		ID:      string(a.call.request),
 		Request: a.outgoing(ctx),
 		Content: a.content,
 		OnStall: a.abandonSilent,
@@ -130,7 +131,7 @@
 		a.dispatcher.localBackends.ReportLeaving(a.backend.ID)
 	}
 	if shed(response) {
-		exchange.Close()
+		exchange.Refused()
 		reason := fleet.Reason(cmp.Or(response.Header.Get(fleet.HeaderReason), string(fleet.ReasonBusy)))
 		return &result{outcome: refused(reason), message: "the backend server refused the request", reached: true}
 	}
--- a/dispatcher/stray_test.go
+++ b/dispatcher/stray_test.go
@@ -63,7 +63,8 @@
 	}
 }
 
-func (b rawBackend) listen(t *testing.T) string {
+// listen serves connections until the test ends, and returns the address.
+func listen(t *testing.T, serve func(net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -73,7 +74,7 @@
 			if err != nil {
 				return
 			}
-			go b.serve(c)
+			go serve(c)
 		}
 	}()
 	return listener.Addr().String()
@@ -118,7 +119,7 @@
 				t.Run(strings.Join([]string{framing, name, when}, "/"), func(t *testing.T) {
 					is := is.New(t)
 					l := newLocal(t)
-					l.backend.Address = rawBackend{frame, stray, when, new(atomic.Bool)}.listen(t)
+					l.backend.Address = listen(t, rawBackend{frame, stray, when, new(atomic.Bool)}.serve)
 					d := dispatcher.New("node", l, dispatcher.WithRequiredEcho())
 					ticket := send(d, "t", "1", "", "false").Header().Get(fleet.HeaderTicket)
 					first := send(d, "first", "1", ticket, "false")
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -2,9 +2,14 @@
 
 import (
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 )
 
+// maxRefusals bounds the refusals over one connection before it is closed.
+const maxRefusals = 64
+
 // conn is a connection that counts the calls that transfer bytes.
 type conn struct {
 	net.Conn
@@ -12,6 +17,29 @@
 	writes atomic.Uint64
 	// broken is set when the connection must not be used again.
 	broken atomic.Bool
+
+	mu sync.Mutex
+	// refused holds the requests that were refused over the connection.
+	refused []string
+}
+
+// recordRefusal records that a request was refused over the connection, and closes the
+// connection if it has too many to remember.
+func (c *conn) recordRefusal(id string) {
+	c.mu.Lock()
+	c.refused = append(c.refused, id)
+	full := len(c.refused) >= maxRefusals
+	c.mu.Unlock()
+	if full {
+		c.breakOff()
+	}
+}
+
+// hasRefused reports whether a request was refused over the connection.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, id)
 }
 
 // breakOff closes the connection. A request that gets it from the pool meanwhile is not
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -14,6 +14,8 @@
 	// Reused is set when the request went over a connection that was used before.
 	Reused bool
 
+	// id is that of the message.
+	id     string
 	cancel context.CancelCauseFunc
 	// conn is the connection that was used; nil if none was.
 	conn *conn
@@ -27,6 +29,16 @@
 	e.Response = response
 }
 
+// Refused ends an exchange whose response refuses the request. The connection may be used
+// for other requests, but not for this one again: a repetition of the response would be taken
+// for the next one.
+func (e *Exchange) Refused() {
+	if e.conn != nil {
+		e.conn.recordRefusal(e.id)
+	}
+	e.Close()
+}
+
 // Break ends the exchange and closes its connection, which may hold the answer to another
 // request. Close leaves a connection open whose answer has no body.
 func (e *Exchange) Break() {
--- a/pooler/message.go
+++ b/pooler/message.go
@@ -6,6 +6,8 @@
 type Message struct {
 	// Address is the IP and port of the recipient.
 	Address string
+	// ID identifies the request among all that are sent, also when it is sent again.
+	ID string
 	// Request holds method, URL and headers.
 	Request *http.Request
 	// Content is the whole body.
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -71,7 +71,7 @@
 }
 
 // Send sends a message once. A pooled connection found closed before a byte was
-// written is replaced; nothing else is retried.
+// written, or over which the request was refused before, is replaced; nothing else is retried.
 func (p *Pooler) Send(ctx context.Context, m Message) (*Exchange, error) {
 	for stale := 0; ; stale++ {
 		exchange, err := p.send(ctx, m, stale >= maxStale)
@@ -122,7 +122,7 @@
 
 func (p *Pooler) send(ctx context.Context, m Message, fresh bool) (*Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	exchange := &Exchange{cancel: cancel}
+	exchange := &Exchange{id: m.ID, cancel: cancel}
 	w := &watcher{clock: p.clock, progress: p.progress, onStall: m.OnStall, cancel: cancel}
 	defer w.stop()
 	var used *conn
@@ -136,6 +136,9 @@
 			if info.Reused {
 				p.reused.Inc(1)
 			}
+			if info.Reused && used.hasRefused(m.ID) {
+				used.breakOff()
+			}
 			w.start(used, info.Reused)
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
