--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net/netip"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 
@@ -83,7 +87,7 @@
 }
 
 func (r *Registrar) announce(m *cowsliptallyv1.AnnounceRequest) (uint64, error) {
-	if err := validate(m); err != nil {
+	if err := r.Check(m); err != nil {
 		return 0, err
 	}
 	r.mu.Lock()
@@ -141,15 +145,17 @@
 	}
 }
 
-func validate(m *cowsliptallyv1.AnnounceRequest) error {
-	if m.GetId() == "" {
-		return fault.New("announce", KindInvalid, "backend server identifier is empty")
+// Check reports whether an announcement could be that of a backend server.
+func (r *Registrar) Check(m *cowsliptallyv1.AnnounceRequest) error {
+	if err := checkName("identifier", m.GetId()); err != nil {
+		return fault.New("announce", KindInvalid, "%w", err)
 	}
-	if m.GetService() == "" {
-		return fault.New("announce", KindInvalid, "service of backend server %q is empty", m.GetId())
+	if err := checkName("service", m.GetService()); err != nil {
+		return fault.New("announce", KindInvalid, "backend server %q: %w", m.GetId(), err)
 	}
-	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
-		return fault.New("announce", KindInvalid, "address %q of backend server %q is not IP:port",
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		return fault.New("announce", KindInvalid, "address %.80q of backend server %q is not the IP:port of a server",
 			m.GetAddress(), m.GetId())
 	}
 	if m.GetSlots() == 0 || m.GetSlots() > math.MaxUint16 {
@@ -167,6 +173,19 @@
 	}
 }
 
+// checkName checks a name that is sent to other nodes, as text and in headers.
+func checkName(what, name string) error {
+	switch {
+	case name == "":
+		return fmt.Errorf("%s is empty", what)
+	case len(name) > maxNameBytes:
+		return fmt.Errorf("%s has %d bytes, at most %d are allowed", what, len(name), maxNameBytes)
+	case !utf8.ValidString(name) || strings.ContainsFunc(name, unicode.IsControl):
+		return fmt.Errorf("%s %q is not printable text", what, name)
+	}
+	return nil
+}
+
 func connectError(err error) error {
 	var failed *Error
 	if !errors.As(err, &failed) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,10 @@
 // starts above every number that the previous one may still use.
 const ownerSequenceStep = 1 << 32
 
+// maxNameBytes bounds the identifier and the service of a backend server. Messages between nodes
+// hold a few of them.
+const maxNameBytes = 255
+
 // RemovalLeases is the number of leases after which a backend server that is gone is forgotten,
 // and its identifier may be used again although it left.
 const RemovalLeases = 10
