--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -66,6 +66,9 @@
 // and marks it as draining. An error of KindUnavailable means that the departure may not
 // outlive the process.
 func (r *Registrar) RecordDeparture(ctx context.Context, id fleet.BackendID) error {
+	if err := checkName("identifier", string(id)); err != nil {
+		return fault.New("leave", KindInvalid, "%w", err)
+	}
 	r.markLeft(func(registered fleet.BackendID) bool { return registered == id })
 	if err := r.departures.Record(ctx, id); err != nil {
 		return fault.New("leave", KindUnavailable, "departure of backend server %q is not recorded: %w", id, err)
