--- a/dispatcher/cut_test.go
+++ b/dispatcher/cut_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -29,13 +28,10 @@
 	defer c.Close()
 	requests := bufio.NewReader(c)
 	for served := 0; ; served++ {
-		r, err := http.ReadRequest(requests)
+		r, err := readRequest(requests)
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		answer := b.answer(r.Header.Get(fleet.HeaderRequestID))
 		if served == 0 && !b.first {
 			_, _ = io.WriteString(c, answer)
--- a/dispatcher/refusal_test.go
+++ b/dispatcher/refusal_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"testing"
 
@@ -29,13 +28,10 @@
 	requests := bufio.NewReader(c)
 	refused := ""
 	for {
-		r, err := http.ReadRequest(requests)
+		r, err := readRequest(requests)
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		id := r.Header.Get(fleet.HeaderRequestID)
 		if refused == "" {
 			refused = b.refusal(id)
--- a/dispatcher/stray_test.go
+++ b/dispatcher/stray_test.go
@@ -41,13 +41,10 @@
 	defer c.Close()
 	requests := bufio.NewReader(c)
 	for served := 0; ; served++ {
-		r, err := http.ReadRequest(requests)
+		r, err := readRequest(requests)
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		if served == 1 {
 			_, _ = io.WriteString(c, b.strayAt("after the next request"))
 		}
@@ -63,6 +60,16 @@
 	}
 }
 
+// readRequest reads a whole request.
+func readRequest(requests *bufio.Reader) (*http.Request, error) {
+	r, err := http.ReadRequest(requests)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
 // listen serves connections until the test ends, and returns the address.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
