--- a/dispatcher/cut_test.go
+++ b/dispatcher/cut_test.go
@@ -20,7 +20,6 @@
 	answer func(id string) string
 	bytes  int
 	reset  bool
-	first  bool
 }
 
 func (b cutBackend) serve(c net.Conn) {
