Count the attempts that a leaving owner declines

The lines of a stopping node did not tell whether anybody still wanted its backend servers, so that one that nobody needs could not be told from one that is missed. The line msg=stopped and the gauge node.declined have the number of attempts that were refused because the node or its backend server leaves.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -270,6 +270,6 @@
 		err = shutdownErr
 	}
 	d.stopTasks(stop)
-	d.logger.Info("stopped", "node", d.self.ID)
+	d.logger.Info("stopped", "node", d.self.ID, "declined", d.dispatcher.Declined())
 	return err
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -28,6 +28,7 @@
 		"node.waiting":       func() int64 { _, waiting := d.slots(); return waiting },
 		"node.slots":         d.slotsOwned,
 		"node.doubted":       func() int64 { return int64(d.dispatcher.FailingCount()) },
+		"node.declined":      d.dispatcher.Declined,
 		"node.avoided":       func() int64 { return int64(d.forwarder.UnreachableNodes()) },
 		"node.retriesleft":   func() int64 { return int64(d.forwarder.RemainingRetries()) },
 		"node.logreachable": func() int64 {
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -11,6 +11,9 @@
 
 // refuse answers an attempt that has no answer from its backend server.
 func (d *Dispatcher) refuse(w http.ResponseWriter, c call, outcome fleet.Outcome, message string) {
+	if outcome.Reason == fleet.ReasonDraining {
+		d.declined.Add(1)
+	}
 	d.describe(w.Header(), c)
 	if status, crash := d.quarantiner.Status(c.identity); status == quarantiner.Suspect {
 		w.Header().Set(fleet.HeaderReporter, string(crash.Reporter))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -62,6 +63,10 @@
 	// reservations holds the slots of offered attempts.
 	reservations *reserver.Reserver[attemptKey, reservation]
 
+	// declined counts the attempts that were refused because the node or their backend server
+	// leaves.
+	declined atomic.Int64
+
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
 }
@@ -144,6 +149,10 @@
 	return count
 }
 
+// Declined returns the number of attempts that were refused because the node or their backend
+// server leaves.
+func (d *Dispatcher) Declined() int64 { return d.declined.Load() }
+
 // Drain refuses all new attempts; those in slots continue.
 func (d *Dispatcher) Drain() {
 	d.work.Close(drainer.Attempts, drainer.Offers)
