Hand back repeatable requests when their owner's node ends

Cause: what the fleet ends on purpose was a failure like any other for the ingress, and had to be paid for from the same budget as retries at failing backend servers.

forwarder.TestRequestAtAStoppingOwnerRunsElsewhere failed before (502).

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -82,9 +82,12 @@
 	return &Error{Operation: "finish requests in flight", Kind: KindShutdown, Err: err}
 }
 
-// abortAfter aborts the requests in flight after a time, unless stop is called before.
+// abortAfter aborts callers' requests and hands back those of other nodes after a time, unless stop is called before.
 func (d *Daemon) abortAfter(duration time.Duration) (stop func()) {
-	timer := d.clock.AfterFunc(duration, d.forwarder.Abort)
+	timer := d.clock.AfterFunc(duration, func() {
+		d.forwarder.Abort()
+		d.dispatcher.HandBack()
+	})
 	return func() { timer.Stop() }
 }
 
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -41,6 +41,9 @@
 	deadline time.Time
 }
 
+// repeatable reports whether another attempt may follow if this one is cut.
+func (c call) repeatable() bool { return c.idempotent && !c.last }
+
 // parseCall reads the headers between nodes.
 func parseCall(header http.Header, now time.Time) (call, error) {
 	c := call{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,6 +62,9 @@
 	usage        *admitter.Usage
 	// reservations holds the slots of offered attempts.
 	reservations *reserver.Reserver[attemptKey, reservation]
+	// handingBack is cancelled when the requests that may run again elsewhere are handed back.
+	handingBack context.Context
+	handBack    context.CancelFunc
 
 	// declined counts the attempts that were refused because the node or their backend server
 	// leaves.
@@ -92,6 +95,7 @@
 		usage:           admitter.NewUsage(),
 		gates:           make(map[fleet.BackendID]*gate),
 	}
+	d.handingBack, d.handBack = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(d)
 	}
@@ -153,6 +157,10 @@
 // server leaves.
 func (d *Dispatcher) Declined() int64 { return d.declined.Load() }
 
+// HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that
+// the node stops while there is time for another attempt.
+func (d *Dispatcher) HandBack() { d.handBack() }
+
 // Drain refuses all new attempts; those in slots continue.
 func (d *Dispatcher) Drain() {
 	d.work.Close(drainer.Attempts, drainer.Offers)
@@ -200,6 +208,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	if c.repeatable() {
+		var end context.CancelCauseFunc
+		ctx, end = context.WithCancelCause(ctx)
+		defer end(nil)
+		defer context.AfterFunc(d.handingBack, func() { end(fleet.ErrStopped) })()
+	}
 	content, err := d.bodies.Collect(r.Body, r.ContentLength)
 	if err != nil {
 		d.refuse(w, c, refused(bodyReason(err)), err.Error())
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -44,7 +44,7 @@
 		return fleet.ClassOK
 	case fleet.ReasonDeadline:
 		return fleet.ClassTimeout
-	case fleet.ReasonCancelled, fleet.ReasonStalled:
+	case fleet.ReasonCancelled, fleet.ReasonStalled, fleet.ReasonStopped:
 		return fleet.ClassCancelled
 	case fleet.ReasonConnect, fleet.ReasonCrash:
 		return fleet.ClassUnreachable
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -18,6 +18,9 @@
 	ReasonKey Reason = "key"
 	// ReasonDraining means that the backend server or the node accepts no new requests.
 	ReasonDraining Reason = "draining"
+	// ReasonStopped means that the node of the backend server stopped while the request ran or
+	// waited, and that another attempt may be made.
+	ReasonStopped Reason = "stopped"
 	// ReasonGone means that the node that received the attempt has no such backend server, or no longer.
 	ReasonGone Reason = "gone"
 	// ReasonDeadline means that the time limit passed.
@@ -74,6 +77,6 @@
 		ReasonGone, ReasonDeadline, ReasonCancelled, ReasonSealed, ReasonDuplicate, ReasonDeduplicator,
 		ReasonPoison, ReasonTooLarge, ReasonMemory, ReasonConnect, ReasonBroken, ReasonStalled,
 		ReasonCrash, ReasonBudget, ReasonNotReady, ReasonBadRequest,
-		ReasonKey, ReasonTicket, ReasonSuspect, ReasonOwnersLost, ReasonFailing, ReasonOffered,
+		ReasonKey, ReasonTicket, ReasonSuspect, ReasonOwnersLost, ReasonFailing, ReasonOffered, ReasonStopped,
 	}
 }
--- a/forwarder/class.go
+++ b/forwarder/class.go
@@ -22,7 +22,7 @@
 		return fleet.ClassBroken
 	case fleet.ReasonDeadline, fleet.ReasonStalled:
 		return fleet.ClassTimeout
-	case fleet.ReasonCancelled:
+	case fleet.ReasonCancelled, fleet.ReasonStopped:
 		return fleet.ClassCancelled
 	default:
 		return fleet.ClassRefused
--- /dev/null
+++ b/forwarder/stop_test.go
@@ -0,0 +1,82 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/retrier"
+)
+
+// noBudget returns a retrier whose budget is spent. Those of owners are as well.
+func noBudget() *retrier.Retrier {
+	return retrier.New(retrier.WithOwnerCharge(), retrier.WithAllowance(func() retrier.Allowance {
+		return retrier.Allowance{Window: time.Minute, UnreachedCost: 1, ReachedCost: 1, RanCost: 1}
+	}))
+}
+
+// holding returns a backend server that holds its requests, a channel on which it tells that one
+// runs, and one that ends the hold.
+func holding() (handler http.Handler, running, hold chan struct{}) {
+	running, hold = make(chan struct{}, 1), make(chan struct{})
+	return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+	}), running, hold
+}
+
+// TestRequestAtAStoppingOwnerRunsElsewhere guards against requests that are lost to a planned stop:
+// the owner's node ends while one runs, and the retry budget is spent.
+func TestRequestAtAStoppingOwnerRunsElsewhere(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(noBudget()))
+	handler, running, hold := holding()
+	defer close(hold)
+	stopped := r.addOwner("a", handler)
+	other := newLedger()
+	r.addOwner("b", other)
+	status := make(chan int)
+	go func() {
+		response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "handed-back")
+		status <- response.StatusCode
+	}()
+	<-running
+	stopped.dispatcher.HandBack()
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(other.count("handed-back"), 1)
+}
+
+// TestRequestWithoutAnotherAttemptIsNotHandedBack guards against a stopping owner that breaks off
+// requests which could still end, and which may run nowhere else.
+func TestRequestWithoutAnotherAttemptIsNotHandedBack(t *testing.T) {
+	for method, path := range map[string]string{"GET": "/single", "POST": "/refund"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			handler, running, hold := holding()
+			stopped := r.addOwner("a", handler)
+			r.addOwner("b", newLedger())
+			status := make(chan int)
+			go func() {
+				response, _ := sendRequest(t, r, method, path, "")
+				status <- response.StatusCode
+			}()
+			<-running
+			stopped.dispatcher.HandBack()
+			select {
+			case got := <-status:
+				t.Errorf("answered %d before it ended", got)
+			case <-time.After(100 * time.Millisecond):
+				close(hold)
+				is.Equal(<-status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -35,6 +35,7 @@
 	fleet.ReasonOwnersLost:   http.StatusBadGateway,
 	fleet.ReasonDeadline:     http.StatusGatewayTimeout,
 	fleet.ReasonStalled:      http.StatusGatewayTimeout,
+	fleet.ReasonStopped:      http.StatusBadGateway,
 }
 
 // Status returns the HTTP status that a reason has in most refusals; it is 503 for all temporary
--- a/retrier/account.go
+++ b/retrier/account.go
@@ -8,6 +8,6 @@
 	recordRequest(at time.Duration)
 	// remaining returns what may be charged.
 	remaining(now time.Duration) float64
-	// charge subtracts the cost of a retry, which must not exceed what remains.
+	// charge subtracts the cost of a retry. What remains may fall below 0.
 	charge(now time.Duration, cost float64)
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -107,6 +107,11 @@
 	}
 	cost := r.retryCost(a)
 	switch {
+	case a.Outcome.Reason == fleet.ReasonStopped:
+		// Each node that stops hands back a few requests at most, whose callers would lose them
+		// to planned work. Later retries make up for it.
+		r.owe(a.Service, cost)
+		return Decision{Retry: true, Reason: a.Outcome.Reason}
 	case r.charge(a.Service, cost):
 		return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason}
 	case r.ownerCharge:
@@ -155,6 +160,13 @@
 	return 1
 }
 
+// owe charges a budget, also beyond what remains.
+func (r *Retrier) owe(service fleet.ServiceName, cost float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.account(service).charge(r.now(), cost)
+}
+
 // charge charges a budget and reports whether enough remained.
 func (r *Retrier) charge(service fleet.ServiceName, cost float64) bool {
 	r.mu.Lock()
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"cowsliptally.example/cowsliptally/fleet"
@@ -60,3 +61,27 @@
 	is.True(!r.Decide(retrier.Attempt{Number: retrier.MaxAttempts, Outcome: busy, Remaining: time.Second}).Retry)
 	is.True(!r.Decide(retrier.Attempt{Number: 1, Outcome: busy, Remaining: 4 * time.Millisecond}).Retry)
 }
+
+// TestRequestsHandedBackAreSentAgain guards against requests that are lost to a planned stop because
+// the budget is spent, and against retries that nobody pays for.
+func TestRequestsHandedBackAreSentAgain(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	r := retrier.New(retrier.WithClock(clock), retrier.WithAllowance(func() retrier.Allowance {
+		return retrier.Allowance{Slack: 2, Window: 10 * time.Second, UnreachedCost: 1, ReachedCost: 1, RanCost: 1}
+	}))
+	stopped := retrier.Attempt{Service: "ledger", Number: 1, Runs: 1, Reached: true, Idempotent: true, Remaining: time.Second,
+		Outcome: fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: fleet.ReasonStopped}}
+	for range 4 {
+		is.True(r.Decide(stopped).Retry)
+	}
+	is.Equal(r.Remaining("ledger"), -2.0)
+	broken := stopped
+	broken.Outcome.Reason = fleet.ReasonBroken
+	is.True(!r.Decide(broken).Retry)
+	once := stopped
+	once.Idempotent = false
+	is.True(!r.Decide(once).Retry)
+	clock.Advance(12 * time.Second)
+	is.True(r.Decide(broken).Retry)
+}
