Close unused connections when a node stops

Callers saw backend servers unused for seconds: their nodes had no work left and went on waiting.

Cause: http.Server.Shutdown waits for connections without a request that are younger than five seconds; HTTP clients leave such connections behind when another one becomes free first.

Change: both servers know theirs and close those that are 250 ms old.

starter.TestUnusedConnectionsDoNotDelayTheEnd failed before (ended after more than 4 s).

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -47,6 +47,7 @@
 	callers, peers *http.Server
 	callerListener *acceptor.Acceptor
 	peerListener   net.Listener
+	unused         *unused
 	errs           chan error
 }
 
@@ -68,8 +69,10 @@
 		peers:          newServer(peers, d.peerRouter(), d.maxHead()+peerHeadExtra, idleTimeout),
 		callerListener: acceptor.New(callers, acceptor.WithClock(d.clock), acceptor.WithDrainer(d.work)),
 		peerListener:   peers,
+		unused:         newUnused(d.clock),
 		errs:           make(chan error, 2),
 	}
+	s.callers.ConnState, s.peers.ConnState = s.unused.observe, s.unused.observe
 	s.callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return pipeliner.Context(acceptor.Context(callers.Context(ctx, c), c))
 	}
@@ -92,6 +95,7 @@
 
 // close waits for connections in use and closes both servers.
 func (s *servers) close(ctx context.Context) error {
+	defer s.unused.closeSoon()()
 	err := errors.Join(s.callers.Shutdown(ctx), s.peers.Shutdown(ctx))
 	err = errors.Join(err, s.callers.Close(), s.peers.Close())
 	return errors.Join(err, s.callerListener.Wait(ctx))
