Keep backend servers of stopping nodes in use

Callers saw requests refused and failed while healthy backend servers got nothing for 4 to 6 s: their nodes had been told to stop (FLOOR: 3 of 6 healthy ones of a service unused for 2 s while 184 of 888 requests were not served).

Cause: a node took its backend servers out of use at the SIGTERM, though it lived on for seconds to let callers move and long requests end, and only it reaches them. When many nodes stop at once, that part of the capacity is missing.

Change: the owner goes on with requests that will most likely be done before its end, one at a time once only other work keeps it from ending. A refusal because a node stops counts as no attempt. Long requests at a stopping owner count as no sign of failure.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -38,7 +38,7 @@
 	slots       int
 	queueLength int
 	usage       *Usage
-	running     map[ID]fleet.RequestKind
+	running     map[ID]occupant
 	waiting     []Request
 	forecaster  *forecaster.Forecaster
 	closed      bool
@@ -48,16 +48,24 @@
 	trialAt time.Time
 	// pacer keeps to the limit that the backend server names.
 	pacer pacer.Pacer
+	// stop is the state while the node stops.
+	stop stop
 	// returns holds the refused requests that are expected to come back.
 	returns returns
 }
 
+// occupant is a request in a slot.
+type occupant struct {
+	kind  fleet.RequestKind
+	since time.Time
+}
+
 // New returns an admitter for a backend server with this many slots.
 func New(slots int, options ...Option) *Admitter {
 	a := &Admitter{
 		slots:       slots,
 		queueLength: slots * DefaultQueueFactor,
-		running:     make(map[ID]fleet.RequestKind),
+		running:     make(map[ID]occupant),
 		forecaster:  forecaster.New(),
 	}
 	for _, option := range options {
@@ -78,6 +86,12 @@
 		return []Decision{refusal(r.ID, fleet.ReasonDeadline)}
 	}
 	decisions := a.expire(now)
+	switch {
+	case a.leaves(r, now):
+		return append(decisions, refusal(r.ID, fleet.ReasonDraining))
+	case a.stop.retired:
+		return append(decisions, a.arriveSingle(r, now))
+	}
 	if len(a.waiting) == 0 && a.take(now) {
 		return append(decisions, a.run(r, now))
 	}
@@ -108,16 +122,20 @@
 		a.forecaster.Record(kind, took, now)
 	}
 	a.endTrial(id)
+	a.endSingle(id)
 	return a.fill(now)
 }
 
 // Abandon frees the slot of a request that did not run to completion, and fills it from the queue.
 func (a *Admitter) Abandon(id ID, now time.Time) []Decision {
-	if _, found := a.running[id]; !found {
+	o, found := a.running[id]
+	if !found {
 		return nil
 	}
 	delete(a.running, id)
+	a.forecaster.RecordUnfinished(o.kind, now.Sub(o.since), now)
 	a.endTrial(id)
+	a.endSingle(id)
 	return a.fill(now)
 }
 
@@ -179,7 +197,7 @@
 }
 
 func (a *Admitter) run(r Request, now time.Time) Decision {
-	a.running[r.ID] = r.Kind
+	a.running[r.ID] = occupant{kind: r.Kind, since: now}
 	a.usage.Add(r.Organisation, a.cost(r.Kind, now).Seconds(), now)
 	return Decision{ID: r.ID, Action: Run}
 }
@@ -245,6 +263,9 @@
 // hopeless returns why a waiting request with so many before it cannot be answered in time, or
 // the empty reason. Where only the backend server's limit is in the way, others may have room.
 func (a *Admitter) hopeless(r Request, ahead int, now time.Time) fleet.Reason {
+	if a.stop.retired || a.leaves(r, now) {
+		return fleet.ReasonDraining
+	}
 	left := r.Deadline.Sub(now)
 	if r.ID != a.trial {
 		left -= a.Expected(r.Kind, now)
@@ -267,9 +288,12 @@
 	return time.Duration(optimism * float64(a.forecaster.Mean(now)) * float64(ahead) / float64(a.slots))
 }
 
-// refuse refuses a queued request and tells when there will be room for it.
+// refuse refuses a queued request and tells when there will be room for it, unless the node stops.
 func (a *Admitter) refuse(r Request, reason fleet.Reason, now time.Time) Decision {
 	d := refusal(r.ID, reason)
+	if reason == fleet.ReasonDraining {
+		return d
+	}
 	turn := time.Duration(float64(a.forecaster.Mean(now)) / float64(max(a.slots, 1)))
 	turn = max(turn, a.pacer.Interval())
 	d.RetryAfter = a.returns.promise(a.value(r, now), len(a.waiting), turn, now)
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -20,6 +20,8 @@
 	Deadline time.Time
 	// Target is the time after which an answer has less value; zero if there is none.
 	Target time.Time
+	// Repeatable requests may run again elsewhere if they are cut.
+	Repeatable bool
 	// NoWait marks a no-wait attempt: it is refused unless a slot is free.
 	NoWait bool
 }
--- /dev/null
+++ b/admitter/stop.go
@@ -0,0 +1,85 @@
+package admitter
+
+import (
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+const (
+	// longestMargin is the multiple of the longest service time that must be left for any
+	// request: the slowest of some hundred requests is not the slowest of all.
+	longestMargin = 1.25
+	// expectedMargin is the multiple of the expected service time that must be left for a
+	// repeatable request. Of kinds with a long tail, about one request in thirty takes longer.
+	expectedMargin = 3
+)
+
+// stop is the state of an admitter whose node stops.
+//
+// Load that it answers: many nodes that stop within seconds, each of which waits seconds for its
+// callers to move and for long requests. A backend server that got nothing all that time would
+// be missed, and one that got everything would run requests that are cut when its node ends.
+type stop struct {
+	// end is when the node ends; zero while it does not stop.
+	end time.Time
+	// retired is set once only one request at a time is admitted.
+	retired bool
+	// single is that request; 0 if there is none.
+	single ID
+}
+
+// Stop tells that the node ends at a time. From now on, only requests are admitted that have time
+// left: for the longest of their kind, or, if they may run again elsewhere, for several times the
+// usual. Queued ones that have not are refused, so that they can go elsewhere.
+func (a *Admitter) Stop(end, now time.Time) []Decision {
+	a.stop.end = end
+	return a.expire(now)
+}
+
+// Retire admits one such request at a time from now on, so that the node can end once the others
+// have. It refuses all queued requests.
+func (a *Admitter) Retire(now time.Time) []Decision {
+	a.stop.retired = true
+	return a.expire(now)
+}
+
+// leaves reports whether a request must go elsewhere because the node stops.
+func (a *Admitter) leaves(r Request, now time.Time) bool {
+	if a.stop.end.IsZero() {
+		return false
+	}
+	if a.stop.retired && a.stop.single != 0 {
+		return true
+	}
+	return !a.leavesTimeForLongest(r, now) && !a.leavesTimeForUsual(r, now)
+}
+
+// leavesTimeForLongest reports whether a request has time left for the longest of its kind.
+func (a *Admitter) leavesTimeForLongest(r Request, now time.Time) bool {
+	longest, known := a.forecaster.Longest(r.Kind, now)
+	return known && now.Add(time.Duration(longestMargin*float64(longest))).Before(a.stop.end)
+}
+
+// leavesTimeForUsual reports whether a request may run again elsewhere, and has time left for
+// several times the usual of its kind.
+func (a *Admitter) leavesTimeForUsual(r Request, now time.Time) bool {
+	expected := a.Expected(r.Kind, now)
+	return r.Repeatable && expected > 0 && now.Add(expectedMargin*expected).Before(a.stop.end)
+}
+
+// arriveSingle gives a slot to the only request that is admitted at a time, or refuses it.
+func (a *Admitter) arriveSingle(r Request, now time.Time) Decision {
+	if len(a.waiting) > 0 || !a.take(now) {
+		return refusal(r.ID, fleet.ReasonDraining)
+	}
+	a.stop.single = r.ID
+	return a.run(r, now)
+}
+
+// endSingle allows the next one if this one has ended.
+func (a *Admitter) endSingle(id ID) {
+	if id == a.stop.single {
+		a.stop.single = 0
+	}
+}
--- /dev/null
+++ b/admitter/stop_play_test.go
@@ -0,0 +1,215 @@
+package admitter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// The load of the play: 38 of 48 nodes are stopped within seven seconds and start again, while
+// callers of the others send 260 requests a second, of which one in thirty takes seven times
+// as long as usual. The times of a stop are those of a grace period of six seconds.
+const (
+	stopPlayOwners    = 48
+	stopPlaySlots     = 11
+	stopPlayPerSecond = 260
+	stopPlayStep      = 5 * time.Millisecond
+	stopPlayLength    = 40 * time.Second
+	stopPlayStops     = 38
+	stopsFrom         = 20 * time.Second
+	stopsAtOnce       = 6
+	stopsEvery        = 600 * time.Millisecond
+	nodeEnd           = 5100 * time.Millisecond
+	nodeCut           = 5400 * time.Millisecond
+	callersMoved      = 2700 * time.Millisecond
+	callersRefused    = 3200 * time.Millisecond
+	nodeRestart       = 750 * time.Millisecond
+	// usedWindow and usedShare are the time in which most healthy backend servers must get requests.
+	usedWindow = 2 * time.Second
+	usedShare  = 0.7
+)
+
+// slotRequest is a request in a slot.
+type slotRequest struct {
+	kind  fleet.RequestKind
+	end   time.Duration
+	begun time.Duration
+	late  bool
+}
+
+// stoppingOwner is a backend server and its node.
+type stoppingOwner struct {
+	admitter *admitter.Admitter
+	running  map[admitter.ID]slotRequest
+	// stop is when the node is told to stop; 0 for never.
+	stop time.Duration
+	// startAt is when the node that ended serves again.
+	startAt time.Duration
+	retired bool
+	closed  bool
+	got     []time.Duration
+}
+
+// stopPlay plays the load in virtual time.
+type stopPlay struct {
+	keep   bool
+	random *rand.Rand
+	owners []*stoppingOwner
+	last   admitter.ID
+	// unserved counts the requests that no owner took; cutOnce and cutRepeatable those that were
+	// cut when their node ended, and that began after it was told to stop.
+	unserved, cutOnce, cutRepeatable int
+}
+
+func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+
+func newStoppingOwner() *stoppingOwner {
+	return &stoppingOwner{admitter: admitter.New(stopPlaySlots), running: map[admitter.ID]slotRequest{}}
+}
+
+// playStopping plays the load; with keep, stopping owners go on as they do now, and else they
+// refuse everything at once.
+func playStopping(seed uint64, keep bool) *stopPlay {
+	p := &stopPlay{keep: keep, random: rand.New(rand.NewPCG(seed, 11))}
+	for range stopPlayOwners {
+		p.owners = append(p.owners, newStoppingOwner())
+	}
+	for i, n := range p.random.Perm(stopPlayOwners)[:stopPlayStops] {
+		p.owners[n].stop = stopsFrom + time.Duration(i/stopsAtOnce)*stopsEvery
+	}
+	for now := time.Duration(0); now < stopPlayLength; now += stopPlayStep {
+		for _, o := range p.owners {
+			p.advance(o, now)
+		}
+		for range p.arrivals() {
+			p.send(now)
+		}
+	}
+	return p
+}
+
+// arrivals returns the number of requests in a step.
+func (p *stopPlay) arrivals() (count int) {
+	for left := p.random.ExpFloat64(); left < stopPlayPerSecond*stopPlayStep.Seconds(); left += p.random.ExpFloat64() {
+		count++
+	}
+	return count
+}
+
+// advance ends requests, and takes a stopping node through its shutdown.
+func (p *stopPlay) advance(o *stoppingOwner, now time.Duration) {
+	for id, r := range o.running {
+		if r.end <= now {
+			delete(o.running, id)
+			o.admitter.Done(id, r.kind, r.end-r.begun, at(now))
+		}
+	}
+	if o.startAt > 0 {
+		if now >= o.startAt {
+			got := o.got
+			*o = *newStoppingOwner()
+			o.got = got
+		}
+		return
+	}
+	if o.stop == 0 || now < o.stop {
+		return
+	}
+	since := now - o.stop
+	switch {
+	case since == 0 && !p.keep:
+		o.closed = true
+		o.admitter.Close()
+	case since == 0:
+		o.admitter.Stop(at(o.stop+nodeEnd), at(now))
+	case since >= callersMoved && !o.retired && p.keep:
+		o.retired = true
+		o.admitter.Retire(at(now))
+	}
+	if since >= callersRefused && !o.closed && len(o.running) <= 1 {
+		o.closed = true
+		o.admitter.Close()
+	}
+	if since < callersRefused || len(o.running) > 0 && since < nodeCut {
+		return
+	}
+	for _, r := range o.running {
+		switch {
+		case !r.late:
+		case r.kind == "booking":
+			p.cutOnce++
+		default:
+			p.cutRepeatable++
+		}
+	}
+	clear(o.running)
+	o.startAt = now + nodeRestart
+}
+
+// send sends a request to the idler of two owners, and to others while it is refused.
+func (p *stopPlay) send(now time.Duration) {
+	kind, work := fleet.RequestKind("booking"), 640*time.Millisecond
+	if p.random.Float64() < 0.35 {
+		kind, work = "lookup", 490*time.Millisecond
+	}
+	work = time.Duration(float64(work) * (0.5 + p.random.Float64()))
+	if p.random.IntN(33) == 0 {
+		work *= 7
+	}
+	order := p.random.Perm(stopPlayOwners)
+	if len(p.owners[order[1]].running) < len(p.owners[order[0]].running) {
+		order[0], order[1] = order[1], order[0]
+	}
+	p.last++
+	for _, i := range order {
+		o := p.owners[i]
+		if o.startAt > 0 {
+			continue // it left, and all know it
+		}
+		decisions := o.admitter.Arrive(admitter.Request{ID: p.last, Kind: kind, Repeatable: kind == "lookup", Weight: 1, NoWait: true, Deadline: at(now + 10*time.Second)}, at(now))
+		if decisions[len(decisions)-1].Action != admitter.Run {
+			continue
+		}
+		o.running[p.last] = slotRequest{kind: kind, begun: now, end: now + work, late: o.stop > 0 && now >= o.stop}
+		o.got = append(o.got, now)
+		return
+	}
+	p.unserved++
+}
+
+// leastUsed returns the least share of backend servers that got requests in any window.
+func (p *stopPlay) leastUsed() float64 {
+	least := 1.0
+	for from := 10 * time.Second; from+usedWindow <= stopPlayLength; from += 100 * time.Millisecond {
+		used := 0
+		for _, o := range p.owners {
+			for _, got := range o.got {
+				if got >= from && got < from+usedWindow {
+					used++
+					break
+				}
+			}
+		}
+		least = min(least, float64(used)/stopPlayOwners)
+	}
+	return least
+}
+
+// TestStoppingNodesKeepTheirBackendServersInUse guards against many healthy backend servers that get
+// nothing while their nodes stop, and against requests that run there and are lost.
+func TestStoppingNodesKeepTheirBackendServersInUse(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(5) {
+		before, now := playStopping(seed, false), playStopping(seed, true)
+		t.Logf("seed %d: least share in use %.2f, before %.2f; not served %d, before %d; cut %d repeatable",
+			seed, now.leastUsed(), before.leastUsed(), now.unserved, before.unserved, now.cutRepeatable)
+		is.True(now.leastUsed() >= usedShare)
+		is.True(now.unserved <= before.unserved)
+		is.Equal(now.cutOnce, 0)
+	}
+}
--- /dev/null
+++ b/admitter/stop_test.go
@@ -0,0 +1,112 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/admitter"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// stopping is an admitter with four slots whose node ends in five seconds, and which knows three
+// kinds of requests: "short" ones take 100 ms, "mixed" ones the same and rarely 6 s, "long" ones 3 s.
+type stopping struct {
+	*admitter.Admitter
+	is   *is.I
+	now  time.Time
+	last admitter.ID
+}
+
+func newStopping(t *testing.T) *stopping {
+	s := &stopping{Admitter: admitter.New(4), is: is.New(t), now: time.Unix(1000, 0)}
+	for i := range 150 {
+		for kind, took := range map[fleet.RequestKind]time.Duration{"short": 100 * time.Millisecond, "mixed": 100 * time.Millisecond, "long": 3 * time.Second} {
+			if kind == "mixed" && i == 0 {
+				took = 6 * time.Second
+			}
+			s.is.Equal(s.arrive(kind, true).Action, admitter.Run)
+			s.Done(s.last, kind, took, s.now)
+		}
+	}
+	return s
+}
+
+// arrive returns the decision for a new request.
+func (s *stopping) arrive(kind fleet.RequestKind, repeatable bool) admitter.Decision {
+	s.last++
+	decisions := s.Arrive(admitter.Request{ID: s.last, Kind: kind, Repeatable: repeatable, Weight: 1, Deadline: s.now.Add(time.Minute)}, s.now)
+	return decisions[len(decisions)-1]
+}
+
+func (s *stopping) refuses(kind fleet.RequestKind, repeatable bool) {
+	d := s.arrive(kind, repeatable)
+	s.is.Equal(d.Action, admitter.Refuse)
+	s.is.Equal(d.Reason, fleet.ReasonDraining)
+	s.is.Equal(d.RetryAfter, time.Duration(0)) // there will be no room here
+}
+
+func (s *stopping) runs(kind fleet.RequestKind, repeatable bool) admitter.ID {
+	s.is.Equal(s.arrive(kind, repeatable).Action, admitter.Run)
+	return s.last
+}
+
+// TestStoppingOwnerTakesWhatWillBeDone guards against requests that are cut when their owner's node
+// ends, and against a backend server that is unused although it could serve short ones.
+func TestStoppingOwnerTakesWhatWillBeDone(t *testing.T) {
+	s := newStopping(t)
+	s.Stop(s.now.Add(5*time.Second), s.now)
+	s.runs("short", false) // none has taken longer than is left
+	s.runs("short", false)
+	s.refuses("mixed", false) // it may be cut, and may not run again
+	id := s.runs("mixed", true)
+	s.runs("mixed", true)
+	s.is.Equal(s.arrive("short", true).Action, admitter.Wait)
+	s.Done(id, "mixed", 100*time.Millisecond, s.now)
+	s.now = s.now.Add(1500 * time.Millisecond)
+	s.refuses("long", true) // time for the longest is not left with a margin, nor for three times the usual
+	s.now = s.now.Add(3450 * time.Millisecond)
+	s.refuses("short", false)
+	s.refuses("short", true)
+}
+
+// TestRetiringOwnerTakesOneAtATime guards against a node that never ends because its backend server
+// always has new work, and against one whose backend server is unused until it does.
+func TestRetiringOwnerTakesOneAtATime(t *testing.T) {
+	s := newStopping(t)
+	s.Stop(s.now.Add(5*time.Second), s.now)
+	var ids []admitter.ID
+	for range 4 {
+		ids = append(ids, s.runs("short", false))
+	}
+	s.is.Equal(s.arrive("short", false).Action, admitter.Wait)
+	decisions := s.Retire(s.now)
+	s.is.Equal(len(decisions), 1) // the queued one goes elsewhere
+	s.is.Equal(decisions[0].Reason, fleet.ReasonDraining)
+	s.refuses("short", true) // no slot is free
+	for _, id := range ids {
+		s.Done(id, "short", 100*time.Millisecond, s.now)
+	}
+	id := s.runs("short", false)
+	s.refuses("short", true)
+	s.Done(id, "short", 100*time.Millisecond, s.now)
+	id = s.runs("mixed", true)
+	s.Abandon(id, s.now)
+	s.runs("short", true)
+}
+
+// TestQueuedRequestsLeaveAStoppingOwner guards against requests that wait at an owner which will
+// not run them before its node ends.
+func TestQueuedRequestsLeaveAStoppingOwner(t *testing.T) {
+	s := newStopping(t)
+	for range 4 {
+		s.runs("short", false)
+	}
+	s.is.Equal(s.arrive("mixed", false).Action, admitter.Wait)
+	s.is.Equal(s.arrive("short", true).Action, admitter.Wait)
+	decisions := s.Stop(s.now.Add(5*time.Second), s.now)
+	s.is.Equal(len(decisions), 1)
+	s.is.Equal(decisions[0].ID, s.last-1)
+	s.is.Equal(decisions[0].Reason, fleet.ReasonDraining)
+}
--- a/admitter/trial.go
+++ b/admitter/trial.go
@@ -29,8 +29,8 @@
 
 // runs reports whether a request of the same kind runs, which will be evidence when it ends.
 func (a *Admitter) runs(r Request) bool {
-	for _, kind := range a.running {
-		if kind == r.Kind {
+	for _, o := range a.running {
+		if o.kind == r.Kind {
 			return true
 		}
 	}
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,6 +1,6 @@
 // Package breaker keeps short-lived records of failures: of unreachable nodes, so that
 // requests are routed past a broken path before the membership protocol detects it, and of
-// failing backend servers, for which their owner refused requests.
+// failing and leaving backend servers, for which their owner refused requests.
 package breaker
 
 import (
@@ -22,8 +22,18 @@
 	// failingBackoff is how long a failing backend server gets no requests from this node
 	// after a refusal. Other nodes send trial requests meanwhile.
 	failingBackoff = time.Second
+	// leavingBackoff is how long a backend server whose node stops gets no requests of the same
+	// kind after a refusal. It takes one at a time, and is to get another within a second.
+	leavingBackoff = 300 * time.Millisecond
 )
 
+// leaving is a backend server whose node stops, for requests that may or may not run twice:
+// it refuses the latter sooner.
+type leaving struct {
+	backend    fleet.BackendID
+	idempotent bool
+}
+
 // Breaker holds the unreachable nodes and the failing backend servers. It is safe for concurrent use.
 type Breaker struct {
 	clock clockwork.Clock
@@ -32,6 +42,8 @@
 	backoffs map[fleet.NodeID]backoff
 	// failing holds the end of the backoff of each failing backend server.
 	failing map[fleet.BackendID]time.Time
+	// leaving holds the end of the backoff of each leaving backend server.
+	leaving map[leaving]time.Time
 }
 
 // backoff is the state of one unreachable node.
@@ -47,6 +59,7 @@
 		clock:    clock,
 		backoffs: make(map[fleet.NodeID]backoff),
 		failing:  make(map[fleet.BackendID]time.Time),
+		leaving:  make(map[leaving]time.Time),
 	}
 }
 
@@ -96,6 +109,35 @@
 	b.failing[id] = now.Add(failingBackoff)
 }
 
+// RecordLeaving records that the owner of a backend server refused a request because it stops.
+func (b *Breaker) RecordLeaving(id fleet.BackendID, idempotent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for key, until := range b.leaving {
+		if !now.Before(until) {
+			delete(b.leaving, key)
+		}
+	}
+	b.leaving[leaving{id, idempotent}] = now.Add(leavingBackoff)
+}
+
+// Leaving returns the leaving backend servers among these, for requests that may or may not run twice.
+func (b *Breaker) Leaving(backends []fleet.Backend, idempotent bool) (ids []fleet.BackendID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.leaving) == 0 {
+		return nil
+	}
+	now := b.clock.Now()
+	for _, backend := range backends {
+		if now.Before(b.leaving[leaving{backend.ID, idempotent}]) {
+			ids = append(ids, backend.ID)
+		}
+	}
+	return ids
+}
+
 // Unavailable returns the backend servers whose owner is unreachable, and those that are
 // failing; either is nil when there are none.
 func (b *Breaker) Unavailable(backends []fleet.Backend) (unreachable, failing []fleet.BackendID) {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -51,3 +51,18 @@
 	_, failing = b.Unavailable(backends)
 	is.Equal(failing, []fleet.BackendID{"b1"})
 }
+
+// TestLeavingBackendServersAreTriedAgainSoon guards against backend servers that get nothing while
+// their node stops because one refusal is remembered for too long, or for all requests.
+func TestLeavingBackendServersAreTriedAgainSoon(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := breaker.New(clock)
+	backends := []fleet.Backend{{ID: "b1"}, {ID: "b2"}}
+	is.Equal(b.Leaving(backends, false), nil)
+	b.RecordLeaving("b1", false)
+	is.Equal(b.Leaving(backends, false), []fleet.BackendID{"b1"})
+	is.Equal(b.Leaving(backends, true), nil) // it may still take these
+	clock.Advance(300 * time.Millisecond)
+	is.Equal(b.Leaving(backends, false), nil)
+}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -30,6 +30,10 @@
 	return shutdown - min(maxAnswerReserve, shutdown/answerPart)
 }
 
+// leaveTime is the time before requests in flight are aborted at which the other nodes are told
+// that the node leaves. They hear of it within 200 ms.
+const leaveTime = 400 * time.Millisecond
+
 // GracePeriod holds the times of a shutdown.
 type GracePeriod struct {
 	// Linger is the time in which new requests are still accepted.
@@ -46,8 +50,9 @@
 	return d.grace()
 }
 
-// shutdown drains the backend servers, announces the departure to the fleet, moves
-// callers to other nodes and waits for requests in flight.
+// shutdown moves callers to other nodes and waits for requests in flight. The backend servers
+// stay in use as long as other work keeps the node from ending: when many nodes stop at once,
+// they would be missed.
 func (d *Daemon) shutdown(s *servers) error {
 	grace := d.gracePeriod()
 	remaining := d.remaining(grace)
@@ -56,15 +61,16 @@
 	d.leaving.Store(true)
 	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "work", d.work.Summary(), "within", remaining)
 	defer d.abortAfter(AbortAfter(remaining))()
-	d.registrar.DrainAll()
-	d.dispatcher.Drain()
-	left := d.leave(ctx)
+	end := d.clock.Now().Add(AbortAfter(remaining))
+	d.dispatcher.Stop(end)
 	waited := d.waitFor("callers that go elsewhere")
 	d.linger(ctx, grace)
 	d.forwarder.Drain()
 	d.work.Close(drainer.Pipelined)
+	d.dispatcher.Retire()
 	d.wait(ctx, refusalTime)
 	waited()
+	left := d.withdraw(ctx, end.Add(-leaveTime))
 	defer d.waitFor("requests in flight and connections")()
 	defer await(ctx, left)
 	// net/http closes each connection behind its current answer once a server shuts down, so
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// withdraw waits until the work that began before has ended, or a time, then takes the backend
+// servers out of use and announces the departure.
+func (d *Daemon) withdraw(ctx context.Context, latest time.Time) (left <-chan struct{}) {
+	waited := d.waitFor("requests in flight, with backend servers in use")
+	waiting, cancel := context.WithTimeout(ctx, latest.Sub(d.clock.Now()))
+	defer cancel()
+	_ = d.work.Wait(waiting) // what is left is waited for and logged by the caller
+	waited()
+	d.registrar.DrainAll()
+	d.dispatcher.Drain()
+	return d.leave(ctx)
+}
+
 // leave announces the departure to the fleet beside the other steps of the shutdown: peers that
 // do not answer must not take the time of the requests in flight. It ends with ctx.
 func (d *Daemon) leave(ctx context.Context) (left <-chan struct{}) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -72,6 +72,10 @@
 
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
+	// end is when the node ends; zero while it does not stop.
+	end time.Time
+	// retired is set once each backend server gets one request at a time.
+	retired bool
 }
 
 // New returns the dispatcher of a node.
@@ -157,13 +161,36 @@
 // server leaves.
 func (d *Dispatcher) Declined() int64 { return d.declined.Load() }
 
+// Stop tells that the node ends at a time. Until Drain, attempts are accepted that will most
+// likely be done by then.
+func (d *Dispatcher) Stop(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.end = end
+	for _, g := range d.gates {
+		g.stop(end)
+	}
+}
+
+// Retire closes Attempts and Offers in the count of work in flight. Each backend server still
+// gets one request at a time until Drain, which counts as a late attempt.
+func (d *Dispatcher) Retire() {
+	d.work.Close(drainer.Attempts, drainer.Offers)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retired = true
+	for _, g := range d.gates {
+		g.retire()
+	}
+}
+
 // HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that
 // the node stops while there is time for another attempt.
 func (d *Dispatcher) HandBack() { d.handBack() }
 
 // Drain refuses all new attempts; those in slots continue.
 func (d *Dispatcher) Drain() {
-	d.work.Close(drainer.Attempts, drainer.Offers)
+	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, g := range d.gates {
@@ -192,11 +219,12 @@
 		d.refuse(w, c, refused(fleet.ReasonBadRequest), err.Error())
 		return
 	}
-	if !d.work.Enter(drainer.Attempts) {
+	kind, entered := d.enter()
+	if !entered {
 		d.refuse(w, c, refused(fleet.ReasonDraining), "the node shuts down")
 		return
 	}
-	defer d.work.Leave(drainer.Attempts)
+	defer d.work.Leave(kind)
 	if !d.sealer.Fresh(c.ticket) {
 		d.refuse(w, c, refused(fleet.ReasonTicket), "the ticket is too old")
 		return
@@ -224,6 +252,14 @@
 	a.serve(ctx, w)
 }
 
+// enter counts an attempt, and returns as what.
+func (d *Dispatcher) enter() (kind drainer.Kind, entered bool) {
+	if d.work.Enter(drainer.Attempts) {
+		return drainer.Attempts, true
+	}
+	return drainer.LateAttempts, d.work.Enter(drainer.LateAttempts)
+}
+
 // accepts returns the backend server of a call and its gate, or the reason why the call is
 // refused at once.
 func (d *Dispatcher) accepts(c call) (fleet.Backend, *gate, fleet.Reason) {
@@ -273,6 +309,12 @@
 		if d.estimates {
 			g.estimator = estimator.New(d.clock.Now())
 		}
+		if !d.end.IsZero() {
+			g.stop(d.end)
+		}
+		if d.retired {
+			g.retire()
+		}
 		d.gates[backend.ID] = g
 	}
 	g.open(backend.Slots)
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -34,6 +34,8 @@
 	// sent counts the requests sent since the limit last changed, at limitSince.
 	sent       int
 	limitSince time.Time
+	// stopping is set once the node stops.
+	stopping bool
 }
 
 func newGate(slots int, usage *admitter.Usage, clock clockwork.Clock) *gate {
@@ -105,7 +107,11 @@
 func (g *gate) rejects(c call) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.estimator != nil && !c.forced && !g.estimator.Admits(c.idempotent, c.attempt, g.clock.Now())
+	now := g.clock.Now()
+	if g.estimator == nil || c.forced || g.estimator.Admits(c.idempotent, c.attempt, now) {
+		return false
+	}
+	return !g.stopping || estimator.IsFailing(g.estimator.FailureProbabilityByResults(now))
 }
 
 // failing reports whether the backend server is suspected failing.
@@ -160,6 +166,21 @@
 	g.deliver(g.admitter.Close())
 }
 
+// stop tells when the node ends.
+func (g *gate) stop(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+	g.deliver(g.admitter.Stop(end, g.clock.Now()))
+}
+
+// retire admits one request at a time from now on.
+func (g *gate) retire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.admitter.Retire(g.clock.Now()))
+}
+
 // open accepts attempts for a backend server with this number of slots.
 func (g *gate) open(slots int) {
 	g.mu.Lock()
@@ -210,6 +231,7 @@
 		Weight:       c.weight,
 		Deadline:     c.deadline,
 		Target:       c.target,
+		Repeatable:   c.repeatable(),
 		NoWait:       c.noWait,
 	}, g.clock.Now()))
 	return g.last, decided
--- a/drainer/kind.go
+++ b/drainer/kind.go
@@ -12,6 +12,9 @@
 	Pipelined
 	// Attempts are requests at this owner, including answers that are relayed to other nodes.
 	Attempts
+	// LateAttempts are attempts that were accepted after Attempts was closed, one at a time for each
+	// backend server, while other work keeps the node from ending.
+	LateAttempts
 	// Offers are attempts that wait for the reservation of a slot.
 	Offers
 	// Closing are connections that the node has closed but still reads, so that the other end
@@ -22,5 +25,5 @@
 
 // String returns the name in logs.
 func (k Kind) String() string {
-	return [kinds]string{"requests", "pipelined", "attempts", "offers", "closing"}[k]
+	return [kinds]string{"requests", "pipelined", "attempts", "late attempts", "offers", "closing"}[k]
 }
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -145,6 +145,13 @@
 	return odds / (1 + odds)
 }
 
+// FailureProbabilityByResults returns the probability without the requests in flight: a stopping
+// node goes on when only the long ones are left, which are no sign of failure.
+func (e *Estimator) FailureProbabilityByResults(now time.Time) float64 {
+	e.decay(now)
+	return e.failing
+}
+
 // Admits reports whether a request may be sent. While the backend server is
 // suspected failing, only a trial request may, while no other request runs: an idempotent one
 // once the trial interval since the last failure is over, or any after maxIdle without requests
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -179,3 +179,24 @@
 		})
 	})
 }
+
+// TestLongRequestsAreNoResults guards against a healthy backend server that gets nothing while its node
+// stops, because the requests that the node waits for take long.
+func TestLongRequestsAreNoResults(t *testing.T) {
+	is := is.New(t)
+	e := estimator.New(start)
+	now := start
+	for id := range uint64(20) {
+		e.Begin(id, "lookup", now)
+		now = now.Add(100 * time.Millisecond)
+		e.End(id, estimator.Answered, now)
+	}
+	e.Begin(100, "lookup", now)
+	e.Begin(101, "lookup", now)
+	now = now.Add(2 * time.Second)
+	is.True(estimator.IsFailing(e.FailureProbability(now)))
+	is.True(!estimator.IsFailing(e.FailureProbabilityByResults(now)))
+	e.End(100, estimator.Failed, now)
+	e.End(101, estimator.Failed, now)
+	is.True(estimator.IsFailing(e.FailureProbabilityByResults(now)))
+}
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -39,7 +39,9 @@
 	maxKinds     int
 	clip         float64
 	kinds        map[fleet.RequestKind]estimate
-	all          estimate
+	// windows holds the longest service times of the same kinds.
+	windows map[fleet.RequestKind]*window
+	all     estimate
 }
 
 // New returns a forecaster without evidence.
@@ -48,6 +50,7 @@
 		newestWeight: DefaultNewestWeight,
 		maxKinds:     DefaultMaxKinds,
 		kinds:        make(map[fleet.RequestKind]estimate),
+		windows:      make(map[fleet.RequestKind]*window),
 	}
 	for _, option := range options {
 		option(f)
@@ -63,6 +66,7 @@
 		return
 	}
 	f.kinds[kind] = f.average(previous, took, now)
+	f.windowOf(kind, now).record(took, now)
 }
 
 // Replace sets the estimate of a kind to a service time that contradicts the earlier ones.
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -21,6 +21,8 @@
 	deadlineRefusals int
 	// budgetRefusals is the number of owners whose retry budget did not cover a retry.
 	budgetRefusals int
+	// leavingRefusals is the number of owners that refused because they or their backend servers leave.
+	leavingRefusals int
 	// retryCause is the failure whose retry was to be charged to owners' retry budgets.
 	retryCause *result
 	// errorAnswer is an answer that reports an error, kept in case no better one follows.
@@ -30,6 +32,9 @@
 // recordAttempt updates the state after a failed attempt.
 func (a *attemptState) recordAttempt(backend fleet.Backend, last *result) {
 	switch {
+	case last.leaving():
+		a.leavingRefusals++
+		a.tried = append(a.tried, backend.ID)
 	case last.outcome.Reason == fleet.ReasonBudget:
 		a.budgetRefusals++
 		a.tried = append(a.tried, backend.ID)
@@ -89,8 +94,10 @@
 }
 
 // declined returns the number of attempts that do not count as retries: they were
-// declined by full or failing backend servers, or by owners without retry budget.
-func (a *attemptState) declined() int { return len(a.full) + len(a.failing) + a.budgetRefusals }
+// declined by full, failing or leaving backend servers, or by owners without retry budget.
+func (a *attemptState) declined() int {
+	return len(a.full) + len(a.failing) + a.leavingRefusals + a.budgetRefusals
+}
 
 // recordRetryCause stores the failure whose retry is to be charged to an owner.
 func (a *attemptState) recordRetryCause(last *result) {
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -48,11 +48,16 @@
 // answered reports whether a backend server answered.
 func (r *result) answered() bool { return r.outcome.Executed == fleet.ExecutedYes }
 
+// leaving reports whether an owner declined the attempt because it or its backend server leaves.
+func (r *result) leaving() bool {
+	return !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonDraining
+}
+
 // declined reports whether an owner declined the attempt because no slot was free, its
-// backend server is suspected failing, or its retry budget does not cover the retry. The
+// backend server is suspected failing, it leaves, or its retry budget does not cover the retry. The
 // attempt at another owner is then no retry, and there is no failure to report.
 func (r *result) declined() bool {
-	return r.noWaitRefused || r.outcome.Reason == fleet.ReasonFailing || r.outcome.Reason == fleet.ReasonBudget
+	return r.noWaitRefused || r.leaving() || r.outcome.Reason == fleet.ReasonFailing || r.outcome.Reason == fleet.ReasonBudget
 }
 
 // parts returns what is held of the answer's body.
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -80,3 +81,21 @@
 		})
 	}
 }
+
+// TestLeavingOwnersUseUpNoAttempts guards against requests that fail because many nodes stop at
+// once, each of which only says so.
+func TestLeavingOwnersUseUpNoAttempts(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(noBudget()))
+	for i := range 12 {
+		r.addOwner(fmt.Sprint("leaving-", i), newLedger()).dispatcher.Drain()
+	}
+	last := newLedger()
+	r.addOwner("staying", last)
+	for _, method := range []string{"GET", "POST"} {
+		response, _ := sendRequest(t, r, method, "/refund", "", fleet.HeaderRequestID, method)
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(response.Header.Get(fleet.HeaderExecuted), "yes")
+		is.Equal(last.count(method), 1)
+	}
+}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -44,8 +44,11 @@
 		}
 		s.recordAttempt(last)
 		state.recordAttempt(backend, last)
-		if last.outcome.Reason == fleet.ReasonFailing {
+		switch {
+		case last.outcome.Reason == fleet.ReasonFailing:
 			f.breaker.RecordFailing(backend.ID)
+		case last.leaving():
+			f.breaker.RecordLeaving(backend.ID, s.idempotent)
 		}
 		if state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals || !f.prepareRetry(ctx, s, number-state.declined(), state.ran, last) {
 			return state.bestResult(state.failureToReport(last))
@@ -83,6 +86,7 @@
 // slot; then a failing one; then one whose owner is unreachable.
 func (f *Forwarder) selectBackend(s *submission, state *attemptState) (fleet.Backend, attemptMode, bool) {
 	unreachable, failing := f.breaker.Unavailable(state.candidates)
+	failing = append(failing, f.breaker.Leaving(state.candidates, s.idempotent)...)
 	unreachable = append(unreachable, f.behindSuspectOwners(state.candidates)...)
 	stages := []struct {
 		excluded []fleet.BackendID
