Bound interim answers of backend servers more tightly

Other operators reported machines that ran out of memory over upstreams whose bytes never end.

Cause: 4,096 interim answers were read from each connection, as many as an owner may need for signs of life; a crowd of them fills the memory faster than it is collected.

Change: a backend server may send 320, one a second for the longest time limit.

--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -19,6 +19,10 @@
 // that reach backend servers; each of the others costs one message.
 const maxAttempts = 8
 
+// maxBackendInterim bounds the answers with status 1xx of a backend server before the last one: one
+// a second for the longest time limit of a request.
+const maxBackendInterim = 320
+
 func (d *Daemon) buildRequests() {
 	d.deduplicator = deduplicator.New(d.self.ID, d.clock)
 	d.quarantiner = quarantiner.New(d.clock)
@@ -79,7 +83,7 @@
 		dispatcher.WithDrainer(d.work),
 		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
-		dispatcher.WithPooler(d.newPooler("connections.backend", openBackendsDivisor, dispatcher.DefaultProgressTimeout, d.set.BackendIdle)),
+		dispatcher.WithPooler(d.newPooler("connections.backend", openBackendsDivisor, dispatcher.DefaultProgressTimeout, d.set.BackendIdle, pooler.WithInterim(maxBackendInterim))),
 		dispatcher.WithQuarantiner(d.quarantiner),
 		dispatcher.WithRecorder(d.journal),
 		dispatcher.WithSuspectReporter(d.broadcaster),
@@ -105,8 +109,8 @@
 }
 
 // newPooler returns a pooler whose connections are counted under a name.
-func (d *Daemon) newPooler(name string, divisor int, progress, idle time.Duration) *pooler.Pooler {
-	return pooler.New(append(d.poolerLimits(divisor),
+func (d *Daemon) newPooler(name string, divisor int, progress, idle time.Duration, options ...pooler.Option) *pooler.Pooler {
+	return pooler.New(append(append(d.poolerLimits(divisor), options...),
 		pooler.WithClock(d.clock),
 		pooler.WithDialTimeout(d.set.DialTimeout),
 		pooler.WithIdleTimeout(idle),
--- a/pooler/bounds_test.go
+++ b/pooler/bounds_test.go
@@ -93,15 +93,16 @@
 
 // TestInterimAnswersAreBounded guards against interim answers without end.
 func TestInterimAnswersAreBounded(t *testing.T) {
-	const bound = 4096
-	for count, served := range map[int]bool{bound: true, bound + 1: false} {
-		is := is.New(t)
-		address := serve(t, func() string {
-			return strings.Repeat("HTTP/1.1 102 Processing\r\nA: b\r\n\r\n", count) + fmt.Sprintf(answerHead, "")
-		})
-		exchange, err := send(t, pooler.New(pooler.WithHeads(accountant.New(1<<20))), address)
-		is.Equal(err == nil, served)
-		exchange.Close()
+	for bound, options := range map[int][]pooler.Option{4096: nil, 320: {pooler.WithInterim(320)}} {
+		for count, served := range map[int]bool{bound: true, bound + 1: false} {
+			is := is.New(t)
+			address := serve(t, func() string {
+				return strings.Repeat("HTTP/1.1 102 Processing\r\nA: b\r\n\r\n", count) + fmt.Sprintf(answerHead, "")
+			})
+			exchange, err := send(t, pooler.New(append(options, pooler.WithHeads(accountant.New(1<<20)))...), address)
+			is.Equal(err == nil, served)
+			exchange.Close()
+		}
 	}
 }
 
--- a/pooler/option.go
+++ b/pooler/option.go
@@ -60,6 +60,12 @@
 	return func(p *Pooler) { p.heads = memory }
 }
 
+// WithInterim bounds the answers with status 1xx before the last one. Each costs memory until it is
+// collected, so a server that sends them without end is to be cut off soon.
+func WithInterim(bound int) Option {
+	return func(p *Pooler) { p.maxInterim = bound }
+}
+
 // WithMetrics counts the connections that are opened and the exchanges that reuse one
 // as NAME.opened and NAME.reused, and those that its bounds refuse as NAME.full and NAME.headmemory.
 func WithMetrics(registry metrics.Registry, name string) Option {
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -26,9 +26,9 @@
 	maxStale = 3
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	// maxInterim bounds the answers with status 1xx before the last one. An owner sends one
+	// defaultInterim bounds the answers with status 1xx before the last one. An owner sends one
 	// every 250 ms, so these last for 17 minutes.
-	maxInterim = 4096
+	defaultInterim = 4096
 )
 
 // errFull is the error of a connection that is not made as too many are open.
@@ -54,7 +54,9 @@
 	full, headless metrics.Counter
 	// maxOpen bounds the open connections; 0 sets no bound.
 	maxOpen int64
-	open    atomic.Int64
+	// maxInterim bounds the answers with status 1xx before the last one.
+	maxInterim int
+	open       atomic.Int64
 	// heads bounds the memory for heads of answers; nil sets no bound.
 	heads *accountant.Accountant
 	// fresh opens a new connection for each request.
@@ -71,6 +73,7 @@
 		dialTimeout: DefaultDialTimeout,
 		idleTimeout: DefaultIdleTimeout,
 		connections: DefaultConnections,
+		maxInterim:  defaultInterim,
 		opened:      metrics.NilCounter{},
 		reused:      metrics.NilCounter{},
 		full:        metrics.NilCounter{},
@@ -165,7 +168,7 @@
 			w.start(used, info.Reused)
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-			if interim++; interim > maxInterim {
+			if interim++; interim > p.maxInterim {
 				return errInterim
 			}
 			if m.OnInformational != nil {
