Check first whether a request must leave a stopping owner

A request that was refused for that after it had been counted as a trial request kept others of the kind from being tried until the node ended. Found by reading; the names say now what is asked.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -79,17 +79,14 @@
 
 // Arrive admits, queues or refuses a new request. The decisions may also refuse queued ones.
 func (a *Admitter) Arrive(r Request, now time.Time) []Decision {
-	if a.closed {
+	if a.closed || a.mustLeave(r, now) {
 		return []Decision{refusal(r.ID, fleet.ReasonDraining)}
 	}
 	if !now.Before(r.Deadline) || !now.Add(a.Expected(r.Kind, now)).Before(r.Deadline) && !a.admitTrial(r, now) {
 		return []Decision{refusal(r.ID, fleet.ReasonDeadline)}
 	}
 	decisions := a.expire(now)
-	switch {
-	case a.leaves(r, now):
-		return append(decisions, refusal(r.ID, fleet.ReasonDraining))
-	case a.stop.retired:
+	if a.stop.retired {
 		return append(decisions, a.arriveSingle(r, now))
 	}
 	if len(a.waiting) == 0 && a.take(now) {
@@ -263,7 +260,7 @@
 // hopeless returns why a waiting request with so many before it cannot be answered in time, or
 // the empty reason. Where only the backend server's limit is in the way, others may have room.
 func (a *Admitter) hopeless(r Request, ahead int, now time.Time) fleet.Reason {
-	if a.stop.retired || a.leaves(r, now) {
+	if a.stop.retired || a.mustLeave(r, now) {
 		return fleet.ReasonDraining
 	}
 	left := r.Deadline.Sub(now)
--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -44,26 +44,26 @@
 	return a.expire(now)
 }
 
-// leaves reports whether a request must go elsewhere because the node stops.
-func (a *Admitter) leaves(r Request, now time.Time) bool {
+// mustLeave reports whether a request must go elsewhere because the node stops.
+func (a *Admitter) mustLeave(r Request, now time.Time) bool {
 	if a.stop.end.IsZero() {
 		return false
 	}
 	if a.stop.retired && a.stop.single != 0 {
 		return true
 	}
-	return !a.leavesTimeForLongest(r, now) && !a.leavesTimeForUsual(r, now)
+	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now)
 }
 
-// leavesTimeForLongest reports whether a request has time left for the longest of its kind.
-func (a *Admitter) leavesTimeForLongest(r Request, now time.Time) bool {
+// hasTimeForLongest reports whether a request has time left for the longest of its kind.
+func (a *Admitter) hasTimeForLongest(r Request, now time.Time) bool {
 	longest, known := a.forecaster.Longest(r.Kind, now)
 	return known && now.Add(time.Duration(longestMargin*float64(longest))).Before(a.stop.end)
 }
 
-// leavesTimeForUsual reports whether a request may run again elsewhere, and has time left for
+// hasTimeForUsual reports whether a request may run again elsewhere, and has time left for
 // several times the usual of its kind.
-func (a *Admitter) leavesTimeForUsual(r Request, now time.Time) bool {
+func (a *Admitter) hasTimeForUsual(r Request, now time.Time) bool {
 	expected := a.Expected(r.Kind, now)
 	return r.Repeatable && expected > 0 && now.Add(expectedMargin*expected).Before(a.stop.end)
 }
