--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -54,12 +54,6 @@
 	returns returns
 }
 
-// occupant is a request in a slot.
-type occupant struct {
-	kind  fleet.RequestKind
-	since time.Time
-}
-
 // New returns an admitter for a backend server with this many slots.
 func New(slots int, options ...Option) *Admitter {
 	a := &Admitter{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -157,61 +157,6 @@
 	return count
 }
 
-// Declined returns the number of attempts that were refused because the node or their backend
-// server leaves.
-func (d *Dispatcher) Declined() int64 { return d.declined.Load() }
-
-// Stop tells that the node ends at a time. Until Drain, attempts are accepted that will most
-// likely be done by then.
-func (d *Dispatcher) Stop(end time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.end = end
-	for _, g := range d.gates {
-		g.stop(end)
-	}
-}
-
-// Retire closes Attempts and Offers in the count of work in flight. Each backend server still
-// gets one request at a time until Drain, which counts as a late attempt.
-func (d *Dispatcher) Retire() {
-	d.work.Close(drainer.Attempts, drainer.Offers)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.retired = true
-	for _, g := range d.gates {
-		g.retire()
-	}
-}
-
-// HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that
-// the node stops while there is time for another attempt.
-func (d *Dispatcher) HandBack() { d.handBack() }
-
-// Drain refuses all new attempts; those in slots continue.
-func (d *Dispatcher) Drain() {
-	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, g := range d.gates {
-		g.close()
-	}
-}
-
-// Shutdown drains and waits until the node has no work in flight of the kinds that it admits
-// no more.
-func (d *Dispatcher) Shutdown(ctx context.Context) error {
-	d.Drain()
-	defer d.Close()
-	return d.work.Wait(ctx)
-}
-
-// Close closes the connections to backend servers that are not in use.
-func (d *Dispatcher) Close() {
-	d.pooler.Close()
-	d.verifier.Close()
-}
-
 // ServeHTTP serves one attempt.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := parseCall(r.Header, d.clock.Now())
@@ -252,14 +197,6 @@
 	a.serve(ctx, w)
 }
 
-// enter counts an attempt, and returns as what.
-func (d *Dispatcher) enter() (kind drainer.Kind, entered bool) {
-	if d.work.Enter(drainer.Attempts) {
-		return drainer.Attempts, true
-	}
-	return drainer.LateAttempts, d.work.Enter(drainer.LateAttempts)
-}
-
 // accepts returns the backend server of a call and its gate, or the reason why the call is
 // refused at once.
 func (d *Dispatcher) accepts(c call) (fleet.Backend, *gate, fleet.Reason) {
