Reword comments and a log word of the stopping owner

Found by reading the change afresh: the count of late attempts in the stopping line had a name of two words, the backoff of leaving backend servers did not give its reason, and a comment of a test named an older number. Only comments and that word change; the tests of the four packages pass.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -22,8 +22,9 @@
 	// failingBackoff is how long a failing backend server gets no requests from this node
 	// after a refusal. Other nodes send trial requests meanwhile.
 	failingBackoff = time.Second
-	// leavingBackoff is how long a backend server whose node stops gets no requests of the same
-	// kind after a refusal. It takes one at a time, and is to get another within a second.
+	// leavingBackoff is how long this node sends no more requests to a backend server whose node
+	// stops and refused one. It is short, as such a backend server takes one request at a time and
+	// is to get the next within a second also in a fleet of two nodes.
 	leavingBackoff = 300 * time.Millisecond
 )
 
@@ -109,7 +110,7 @@
 	b.failing[id] = now.Add(failingBackoff)
 }
 
-// RecordLeaving records that the owner of a backend server refused a request because it stops.
+// RecordLeaving records that the owner of a backend server refused a request because its node stops.
 func (b *Breaker) RecordLeaving(id fleet.BackendID, idempotent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -34,7 +34,7 @@
 	// sent counts the requests sent since the limit last changed, at limitSince.
 	sent       int
 	limitSince time.Time
-	// stopping is set once the node stops.
+	// stopping is set once the node stops; the estimate then leaves out requests in flight.
 	stopping bool
 }
 
--- a/drainer/kind.go
+++ b/drainer/kind.go
@@ -25,5 +25,5 @@
 
 // String returns the name in logs.
 func (k Kind) String() string {
-	return [kinds]string{"requests", "pipelined", "attempts", "late attempts", "offers", "closing"}[k]
+	return [kinds]string{"requests", "pipelined", "attempts", "late", "offers", "closing"}[k]
 }
--- a/forecaster/window_test.go
+++ b/forecaster/window_test.go
@@ -27,7 +27,7 @@
 	for range 148 {
 		f.Record("order", 100*time.Millisecond, now)
 	}
-	is.Equal(longest(), time.Duration(-1)) // one slow request in a hundred may be missing
+	is.Equal(longest(), time.Duration(-1)) // 149 are too few
 	f.Record("order", 100*time.Millisecond, now)
 	is.Equal(longest(), 3*time.Second)
 	f.RecordUnfinished("order", 4*time.Second, now)
