Tell in an owner's log why an answer was broken

The logs could not tell the hypotheses of docs/incidents/given-up.md apart: an answer to another request, a reset connection and a malformed head all had the reason "broken" at an owner. The event of an attempt has the message of the failure now, up to 160 bytes, since a backend server may choose a part of it.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -19,6 +19,10 @@
 	"cowsliptally.example/cowsliptally/scrubber"
 )
 
+// maxRecordedMessage bounds the message in an event, in bytes: a backend server may choose a part
+// of it.
+const maxRecordedMessage = 160
+
 // attempt is one attempt that the owner handles.
 type attempt struct {
 	dispatcher *Dispatcher
@@ -41,7 +45,7 @@
 	if outcome.Reason != "" {
 		beats.stop()
 		if !a.call.noWait {
-			a.record(string(outcome.Reason), fleet.Milliseconds("waited", d.clock.Since(arrived)))
+			a.record(string(outcome.Reason), "", fleet.Milliseconds("waited", d.clock.Since(arrived)))
 		}
 		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
@@ -79,7 +83,7 @@
 		if r.outcome.Executed == fleet.ExecutedYes {
 			reason = strconv.Itoa(r.exchange.Response.StatusCode)
 		}
-		a.record(reason, fleet.Milliseconds("took", took), probability)
+		a.record(reason, r.message, fleet.Milliseconds("took", took), probability)
 	}
 	if changed != "" {
 		event := fleet.NewEvent(fleet.EventFailing, string(a.backend.ID), changed, probability)
@@ -87,11 +91,15 @@
 	}
 }
 
-// record records an event of this attempt.
-func (a *attempt) record(reason string, figures ...fleet.Figure) {
+// record records an event of this attempt. The message tells failures with one reason apart.
+func (a *attempt) record(reason, message string, figures ...fleet.Figure) {
 	figures = append([]fleet.Figure{{Name: "attempt", Value: float64(a.call.attempt)}}, figures...)
 	event := fleet.NewEvent(fleet.EventAttempt, string(a.call.request), reason, figures...)
-	a.dispatcher.recorder.Record(event.WithService(a.backend.Service).WithDetail("at " + string(a.backend.ID)))
+	detail := "at " + string(a.backend.ID)
+	if message != "" {
+		detail += ": " + message[:min(len(message), maxRecordedMessage)]
+	}
+	a.dispatcher.recorder.Record(event.WithService(a.backend.Service).WithDetail(detail))
 }
 
 // runObserved runs the attempt and reports it to the health evaluation.
