Copy no bytes behind each blank line of a body

Callers that uploaded a body with very many blank lines got 503 with the reason "cancelled" at their deadline, as for a slow upload, although all bytes had arrived.

The acceptor ends each Read after a blank line, as a head may end there. It took the bytes that it kept for the next Read whole, cut them at the next blank line and cloned all the rest again, so that the work grew with the square of what one read returned. Bytes that were kept are now returned up to the next blank line and stay where they are.

The new test of the acceptor reads 180,000 bytes with 30,000 blank lines.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -274,3 +275,35 @@
 		is.NoErr(c.Close())
 	}
 }
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) { return l.conn, nil }
+
+// TestBodyOfBlankLinesIsReadWithoutCopyingTheRestAtEach guards against uploads that take seconds,
+// as each blank line of a body made all bytes that had arrived behind it be copied.
+func TestBodyOfBlankLinesIsReadWithoutCopyingTheRestAtEach(t *testing.T) {
+	is := is.New(t)
+	client, served := net.Pipe()
+	accepted, err := acceptor.New(oneConn{conn: served}).Accept()
+	is.NoErr(err)
+	body := strings.Repeat("a:\r\n\r\n", 30_000)
+	go func() {
+		_, _ = io.WriteString(client, body)
+		_ = client.Close()
+	}()
+	content := make([]byte, len(body))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = io.ReadFull(accepted, content)
+	runtime.ReadMemStats(&after)
+	is.NoErr(err)
+	is.Equal(string(content), body)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	t.Logf("%d bytes were allocated", allocated)
+	is.True(allocated < uint64(64*len(body)))
+}
--- a/acceptor/ahead.go
+++ b/acceptor/ahead.go
@@ -13,8 +13,8 @@
 	at      time.Time
 }
 
-// takeAhead returns bytes that were read ahead and when they arrived, or found false if
-// nothing is left of them.
+// takeAhead returns bytes that were read ahead, none after the end of a head, and when they
+// arrived, or found false if nothing is left of them.
 func (c *conn) takeAhead(b []byte) (n int, at time.Time, found bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -22,7 +22,8 @@
 		return 0, time.Time{}, c.err != nil, c.err
 	}
 	first := &c.ahead[0]
-	n, at = copy(b, first.content), first.at
+	content := first.content[:min(len(b), len(first.content))]
+	n, at = copy(b, content[:c.headLength(content)]), first.at
 	first.content = first.content[n:]
 	c.aheadBytes -= n
 	if len(first.content) == 0 {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -100,18 +100,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seam := append(slices.Clone(c.tail), b[:min(len(b), len(headEnd)-1)]...)
-	n := len(b)
-	if i := bytes.Index(seam, []byte(headEnd)); i >= 0 {
-		n = i + len(headEnd) - len(c.tail)
-	} else if i := bytes.Index(b, []byte(headEnd)); i >= 0 {
-		n = i + len(headEnd)
-	}
+	n := c.headLength(b)
 	if n < len(b) {
 		c.ahead = slices.Insert(c.ahead, 0, chunk{content: slices.Clone(b[n:]), at: at})
 		c.aheadBytes += len(b) - n
 	}
-	c.ambiguous = c.ambiguous || bareNewline(seam) || bareNewline(b[:n])
+	c.ambiguous = c.ambiguous || bareNewline(c.seam(b)) || bareNewline(b[:n])
 	c.tail = append(c.tail, b[max(0, n-len(headEnd)+1):n]...)
 	c.tail = c.tail[max(0, len(c.tail)-len(headEnd)+1):]
 	if c.peeked = nil; peeked {
@@ -122,6 +116,23 @@
 	return n
 }
 
+// headLength returns the number of bytes up to the end of the first head in b, or all if none
+// ends there. The caller holds mu.
+func (c *conn) headLength(b []byte) int {
+	if i := bytes.Index(c.seam(b), []byte(headEnd)); i >= 0 {
+		return i + len(headEnd) - len(c.tail)
+	}
+	if i := bytes.Index(b, []byte(headEnd)); i >= 0 {
+		return i + len(headEnd)
+	}
+	return len(b)
+}
+
+// seam returns the last bytes that Read returned and the first ones of b. The caller holds mu.
+func (c *conn) seam(b []byte) []byte {
+	return append(slices.Clone(c.tail), b[:min(len(b), len(headEnd)-1)]...)
+}
+
 // bareNewline reports whether a line feed other than the first byte follows no carriage
 // return.
 func bareNewline(b []byte) bool {
