Take no cut early answer without a length for a whole one

Callers got a part of an answer as a complete 200: the backend server answered a long upload at once with an answer that ends with its connection, sent a part of the body and reset the connection while the upload was still being written.

Cause: the write that fails by the reset takes the error of the socket with it, and the read after it returns io.EOF, which net/http takes for the end of such an answer. The connection also counted as ended in order (Exchange.Ended).

Change: a connection follows the request that is written to it. The end of the connection counts as in order only once the request was written whole; at an earlier end a write in progress is stopped first, so that the answer does not depend on which goroutine runs first. Only answers that end with their connection then fail; the result is unknown (broken), as the request may have run. A backend server that sends its whole answer without a length and closes before it has read the request gives the same picture as a cut one, and fails too. Answers with a length or chunks are treated as before.

Read, not run: the hop from ingress to owner uses the same code, and an owner answers HTTP/1.1 with a length or chunks, so no answer there ends with its connection; what counts as proof there (Exchange.Ended) is covered by the change. An ingress holds the caller's upload whole before it sends it on, so no backend server answers it early.

A reset that the write does not meet is seen by the read. Not told apart: an end in order after the kernel took the whole request and before the backend server read it, as before.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -144,7 +144,7 @@
 		reason := fleet.Reason(cmp.Or(response.Header.Get(fleet.HeaderReason), string(fleet.ReasonBusy)))
 		return &result{outcome: refused(reason), message: "the backend server refused the request", reached: true}
 	}
-	if !delimited(response) && !a.dispatcher.undelimited {
+	if !exchange.IsDelimited() && !a.dispatcher.undelimited {
 		exchange.Break()
 		return &result{outcome: unknown(fleet.ReasonBroken), message: "the answer's length is not told"}
 	}
@@ -272,12 +272,3 @@
 func shed(r *http.Response) bool {
 	return fleet.Executed(r.Header.Get(fleet.HeaderExecuted)) == fleet.ExecutedNo
 }
-
-// delimited reports whether the end of an answer can be distinguished from a lost
-// connection.
-func delimited(r *http.Response) bool {
-	if r.ContentLength >= 0 {
-		return true
-	}
-	return len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
-}
--- a/dispatcher/option.go
+++ b/dispatcher/option.go
@@ -147,8 +147,8 @@
 }
 
 // WithUndelimitedAnswers accepts answers without a length, which end when their connection does.
-// A connection reset shows that the answer is incomplete; an early close cannot be
-// distinguished from its end.
+// A connection reset, or an end before the request was sent whole, shows that the answer may be
+// incomplete; a later early close cannot be distinguished from its end.
 func WithUndelimitedAnswers() Option {
 	return func(d *Dispatcher) { d.undelimited = true }
 }
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -24,8 +24,10 @@
 	writes atomic.Uint64
 	// broken is set when the connection must not be used again.
 	broken, closed atomic.Bool
-	// ended is set when the peer closed the connection in order: all that it wrote was read.
-	ended atomic.Bool
+	// ended is set when the peer closed the connection in order: all that it wrote was read. An
+	// end before the request was written whole does not count, as it may be a reset.
+	ended  atomic.Bool
+	upload upload
 	// tail holds the last bytes read. Only the goroutine that reads uses it before ended is set.
 	tail [len(headEnd)]byte
 
@@ -71,6 +73,12 @@
 	return c.broken.Load() && c.writes.Load() == before
 }
 
+// begin notes that an exchange begins.
+func (c *conn) begin() {
+	c.answer.begin()
+	c.upload.begin()
+}
+
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -80,7 +88,7 @@
 		copy(c.tail[:], read[len(read)-len(c.tail):])
 	}
 	if errors.Is(err, io.EOF) {
-		c.ended.Store(true)
+		c.ended.Store(c.upload.stop(c.Conn))
 	}
 	if !c.answer.admit(b[:n]) {
 		return 0, errHeads
@@ -113,7 +121,7 @@
 		return 0, net.ErrClosed
 	}
 	c.writes.Add(1)
-	n, err := c.Conn.Write(b)
+	n, err := c.upload.write(c.Conn, b)
 	if n == 0 && err != nil {
 		c.writes.Add(^uint64(0))
 	}
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -39,14 +39,6 @@
 	return e.Response.ContentLength
 }
 
-// setResponse sets the response and closes the body of an earlier one.
-func (e *Exchange) setResponse(response *http.Response) {
-	if e.Response != nil {
-		_ = e.Response.Body.Close()
-	}
-	e.Response = response
-}
-
 // Refused ends an exchange whose response refuses the request. The connection may be used
 // for other requests, but not for this one again: a repetition of the response would be taken
 // for the next one.
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -156,7 +156,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			used = info.Conn.(*conn)
 			exchange.conn = used
-			used.answer.begin()
+			used.begin()
 			before = used.writes.Load()
 			exchange.Reused, exchange.Opened = info.Reused, used.opened
 			if info.Reused {
