Find late answers to earlier requests on a connection

A backend server may send an answer once more, in front of the answer to the next request on the same kept connection. heads/discarder decides on bytes only which answers those are and leaves them out; nothing uses it yet.

An answer is left out only if its one identifier is that of one of the last 64 requests sent over the connection, other than HEAD, and if its end can be told in one way: one Content-Length, chunks without extensions and trailers, or status 204 or 304. Everything else is passed on as it came, and the connection is not followed any more. At most 16 answers and 4 MB of a connection are left out.

Tests: a table with each input whole, in two parts at every byte and byte by byte; a property test and FuzzDiscarder against the parser of net/http. An earlier form followed chunks with weigher.Body; after 2 s the fuzz target gave it "0 \n" as the size of a chunk, which net/http refuses. Without the check of the identifier, or the one of bytes that no request asked for, the tests fail.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 # goroutines cover differs from run to run.
 fuzz:
 	go test ./heads/weigher -run '^$$' -fuzz FuzzHead -fuzztime 5s -fuzzminimizetime 1x
+	go test ./heads/discarder -run '^$$' -fuzz FuzzDiscarder -fuzztime 5s -fuzzminimizetime 1x
 	go test ./heads/gatekeeper -run '^$$' -fuzz FuzzHeads -fuzztime 5s -fuzzminimizetime 1x
 
 # Checks format, linter, go.mod and the generated code.
