Hand back only requests that can be in time elsewhere

Callers got 504 for requests at which backend servers were at work while their owner's node stopped as planned: "stopped 4642ms; deadline 12ms; deadline 0ms" with 0.34 s left, others with 0.49 to 0.84 s.

Cause: 0.3 s before its end a stopping owner ended every request that might run again elsewhere, without a look at the time left. Other owners refused them, as their kind takes longer than that, and the owner itself would have lived for 0.3 s more.

An owner now hands back an attempt only if more time is left, at that moment, than its kind is expected to take, 100 ms at least: the test by which a request on a cut connection is abandoned, now one function for both. Others go on until the node ends.

Ruled out: that the ingress stopped trying too early. With less time than the kind takes each owner refuses it, so more tries gain nothing.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -10,6 +10,10 @@
 	"cowsliptally.example/cowsliptally/sealer"
 )
 
+// minRetryTime is the least time left in which another attempt is taken to be in time: a round
+// trip between zones and a short request.
+const minRetryTime = 100 * time.Millisecond
+
 // call is one attempt as its ingress described it.
 type call struct {
 	request      fleet.RequestID
@@ -44,6 +48,12 @@
 // repeatable reports whether another attempt may follow if this one is cut.
 func (c call) repeatable() bool { return c.idempotent && !c.last }
 
+// mayRunElsewhere reports whether another attempt may follow if this one is cut now, and can
+// still be in time where its kind is expected to take this long.
+func (c call) mayRunElsewhere(now time.Time, expected time.Duration) bool {
+	return c.repeatable() && c.deadline.Sub(now) > max(minRetryTime, expected)
+}
+
 // parseCall reads the headers between nodes.
 func parseCall(header http.Header, now time.Time) (call, error) {
 	c := call{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -181,12 +181,6 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	if c.repeatable() {
-		var end context.CancelCauseFunc
-		ctx, end = context.WithCancelCause(ctx)
-		defer end(nil)
-		defer context.AfterFunc(d.handingBack, func() { end(fleet.ErrStopped) })()
-	}
 	content, err := d.bodies.Collect(r.Body, r.ContentLength)
 	if err != nil {
 		d.refuse(w, c, refused(bodyReason(err)), err.Error())
@@ -194,6 +188,8 @@
 	}
 	defer content.Release()
 	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r, content: content.Bytes()}
+	ctx, end := a.endedByHandBack(ctx)
+	defer end()
 	a.serve(ctx, w)
 }
 
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowsliptally.example/cowsliptally/drainer"
+	"cowsliptally.example/cowsliptally/fleet"
 )
 
 // Declined returns the number of attempts that were refused because the node or their backend
@@ -34,10 +35,24 @@
 	}
 }
 
-// HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that
-// the node stops while there is time for another attempt.
+// HandBack ends the attempts in flight that may run again elsewhere and can still be in time there:
+// their ingresses learn that the node stops. The others go on until it ends.
 func (d *Dispatcher) HandBack() { d.handBack() }
 
+// endedByHandBack returns a context that ends when the attempt is handed back.
+func (a *attempt) endedByHandBack(ctx context.Context) (context.Context, func()) {
+	ctx, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(a.dispatcher.handingBack, func() {
+		if a.mayRunElsewhere() {
+			end(fleet.ErrStopped)
+		}
+	})
+	return ctx, func() {
+		stop()
+		end(nil)
+	}
+}
+
 // Drain refuses all new attempts; those in slots continue.
 func (d *Dispatcher) Drain() {
 	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
