Count refusals for lack of time afresh after a hand-back

A request whose owner's node stopped was given up although an owner was left that would take it: one slow backend server had refused it before it ran, and another one did after it was handed back.

Cause: a submission ends after two refusals because the time left is too short, counted over all its attempts. The first one was made for another request time, before the planned stop took the attempt away.

A hand-back now sets the count to zero. Two refusals after it still end the request. Each refusal is proof that nothing ran, and costs one message.

Evidence: forwarder.TestRefusalsBeforeAHandBackDoNotCount fails before: stop_test.go:84: 504 != 200

The other bounds on the way, by reading and by the tests of the packages: refusals of stopping owners count as no attempt; refusals for lack of retry budget cannot follow a hand-back, as its retry is charged at the ingress; the eight attempts mark the last one, which is not handed back; the random delay (64 ms at most) is below the least time left for a hand-back (100 ms).

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -50,6 +50,9 @@
 	} else if last.outcome.Reason == fleet.ReasonDeadline {
 		a.deadlineRefusals++
 	}
+	if last.outcome.Reason == fleet.ReasonStopped {
+		a.deadlineRefusals = 0 // those from before it ran say nothing of the owners that are left
+	}
 }
 
 // hasUntried reports whether at least count candidates were not tried.
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -54,6 +54,37 @@
 	is.Equal(other.count("handed-back"), 1)
 }
 
+// tooLate is an owner that refuses each request because the time left is too short.
+func tooLate(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set(fleet.HeaderRequestID, q.Header.Get(fleet.HeaderRequestID))
+	w.Header().Set(fleet.HeaderExecuted, string(fleet.ExecutedNo))
+	w.Header().Set(fleet.HeaderReason, string(fleet.ReasonDeadline))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// TestRefusalsBeforeAHandBackDoNotCount guards against requests that are lost to a planned stop because
+// slow backend servers, which are to be asked twice at most, refused them before and after it.
+func TestRefusalsBeforeAHandBackDoNotCount(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(retrier.New(retrier.WithAttempts(8))))
+	handler, running, hold := holding()
+	defer close(hold)
+	other := newLedger()
+	r.servePeer(r.addOwner("a", other), http.HandlerFunc(tooLate))
+	stopped := r.addOwner("b", handler)
+	r.servePeer(r.addOwner("c", other), http.HandlerFunc(tooLate))
+	r.addOwner("d", other)
+	status := make(chan int)
+	go func() {
+		response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "handed-back")
+		status <- response.StatusCode
+	}()
+	<-running
+	stopped.dispatcher.HandBack()
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(other.count("handed-back"), 1)
+}
+
 // TestRequestWithoutAnotherAttemptIsNotHandedBack guards against a stopping owner that breaks off
 // requests which could still end, and which may run nowhere else.
 func TestRequestWithoutAnotherAttemptIsNotHandedBack(t *testing.T) {
