Send handed-back requests to nodes that have started again

Where planned stops overlap, a request was lost in a small service though a node was there that would take it: one owner refused the request as its node stopped, the next one ran it until its own planned stop.

Cause: a backend server whose owner had refused a request because its node stops counted as tried for as long as the request lasted. So no other one was left after the second stop, and the attempt was marked as the last one, which an owner does not hand back: it broke at the end of the node. The first node had ended and started again meanwhile.

Such backend servers are now kept apart from tried ones: they are not selected again until the request is handed back, and then may be. The mark that the owner gets counts them as others. For a silent owner the ingress does not: they cannot take the request at that moment, so it is abandoned only with proof that it did not run, as before.

Evidence: forwarder.TestRequestIsHandedBackToANodeThatHasStartedAgain fails before: stop_test.go:113: not handed back

What this costs: where the first node is not back when the second one hands back, the request ends 0.3 s before the node of its owner does. A request on a connection that is shown to be cut is abandoned at once, also if only stopping nodes are left.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -106,7 +106,7 @@
 	if !d.submission.idempotent {
 		return silences >= maxSilences
 	}
-	if silences < maxSafeSilences || !d.submission.lastAttempt {
+	if silences < maxSafeSilences || !d.submission.lastForNow {
 		return silences >= maxSafeSilences
 	}
 	sealed, _ := f.seal(context.Background(), d, false)
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -11,6 +11,8 @@
 	candidates []fleet.Backend
 	// tried holds backend servers that are not selected again.
 	tried []fleet.BackendID
+	// leaving holds those whose node stops; they may be selected again after a hand-back.
+	leaving []fleet.BackendID
 	// full holds those that had no free slot; they may be selected again, to wait for a slot.
 	full []fleet.BackendID
 	// failing holds those suspected failing; they are used when no other is left.
@@ -34,7 +36,7 @@
 	switch {
 	case last.leaving():
 		a.leavingRefusals++
-		a.tried = append(a.tried, backend.ID)
+		a.leaving = append(a.leaving, backend.ID)
 	case last.outcome.Reason == fleet.ReasonBudget:
 		a.budgetRefusals++
 		a.tried = append(a.tried, backend.ID)
@@ -51,14 +53,16 @@
 		a.deadlineRefusals++
 	}
 	if last.outcome.Reason == fleet.ReasonStopped {
-		a.deadlineRefusals = 0 // those from before it ran say nothing of the owners that are left
+		// It ran for a while: refusals from before say nothing of the owners that are left, and those
+		// that stopped then have started again.
+		a.deadlineRefusals, a.leaving = 0, nil
 	}
 }
 
-// hasUntried reports whether at least count candidates were not tried.
-func (a *attemptState) hasUntried(count int) bool {
+// hasUntried reports whether at least count candidates are neither tried nor excluded.
+func (a *attemptState) hasUntried(count int, excluded ...fleet.BackendID) bool {
 	for _, candidate := range a.candidates {
-		if slices.Contains(a.tried, candidate.ID) {
+		if slices.Contains(a.tried, candidate.ID) || slices.Contains(excluded, candidate.ID) {
 			continue
 		}
 		if count--; count <= 0 {
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -85,6 +85,35 @@
 	is.Equal(other.count("handed-back"), 1)
 }
 
+// TestRequestIsHandedBackToANodeThatHasStartedAgain guards against requests that are lost where stops
+// overlap: the other owners refused them when they stopped, and have started again since.
+func TestRequestIsHandedBackToANodeThatHasStartedAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	handler, running, hold := holding()
+	defer close(hold)
+	restarted := newLedger()
+	first := r.addOwner("a", restarted)
+	stopped := r.addOwner("b", handler)
+	first.setState(fleet.BackendDraining)
+	status := make(chan int)
+	go func() {
+		response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "handed-back")
+		status <- response.StatusCode
+	}()
+	<-running
+	first.setState(fleet.BackendReady)
+	time.Sleep(400 * time.Millisecond) // longer than the ingress remembers the refusal
+	stopped.dispatcher.HandBack()
+	select {
+	case got := <-status:
+		is.Equal(got, http.StatusOK)
+		is.Equal(restarted.count("handed-back"), 1)
+	case <-time.After(5 * time.Second):
+		t.Error("not handed back")
+	}
+}
+
 // TestRequestWithoutAnotherAttemptIsNotHandedBack guards against a stopping owner that breaks off
 // requests which could still end, and which may run nowhere else.
 func TestRequestWithoutAnotherAttemptIsNotHandedBack(t *testing.T) {
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -36,7 +36,9 @@
 		if !found {
 			return state.bestResult(state.failureToReport(f.noBackendResult(s, last)))
 		}
-		s.lastAttempt = !f.allowsAnother(s, state, number-state.declined())
+		allowed := f.allowsAnother(s, state, number-state.declined())
+		s.lastAttempt = !allowed || !state.hasUntried(2)
+		s.lastForNow = !allowed || !state.hasUntried(2, state.leaving...)
 		last = f.attempt(ctx, s, backend, number, mode)
 		s.trace = append(s.trace, last.describe(backend, mode))
 		if last.answered() && !f.replaceable(s, last) {
@@ -63,7 +65,7 @@
 // allowsAnother reports whether another attempt would be allowed if the next one, with this
 // number, ran and its answer were lost.
 func (f *Forwarder) allowsAnother(s *submission, state *attemptState, number int) bool {
-	return state.hasUntried(2) && f.retrier.Allows(retrier.Attempt{
+	return f.retrier.Allows(retrier.Attempt{
 		Service:    s.service,
 		Number:     number,
 		Runs:       state.ran + 1,
@@ -88,15 +90,16 @@
 	unreachable, failing := f.breaker.Unavailable(state.candidates)
 	failing = append(failing, f.breaker.Leaving(state.candidates, s.idempotent)...)
 	unreachable = append(unreachable, f.behindSuspectOwners(state.candidates)...)
+	tried := slices.Concat(state.tried, state.leaving)
 	stages := []struct {
 		excluded []fleet.BackendID
 		mode     attemptMode
 	}{
-		{slices.Concat(state.tried, state.full, state.failing, failing, unreachable), noWait},
-		{slices.Concat(state.tried, state.failing, failing, unreachable), queued},
-		{slices.Concat(state.tried, state.failing, unreachable), queued},
-		{slices.Concat(state.tried, unreachable), forced},
-		{state.tried, forced},
+		{slices.Concat(tried, state.full, state.failing, failing, unreachable), noWait},
+		{slices.Concat(tried, state.failing, failing, unreachable), queued},
+		{slices.Concat(tried, state.failing, unreachable), queued},
+		{slices.Concat(tried, unreachable), forced},
+		{tried, forced},
 	}
 	if len(state.failing) >= maxFailing {
 		stages = stages[3:]
