Count the time in which new requests are accepted from the signal

A node whose process was stalled when SIGTERM arrived accepted new requests for 2.7 s from the beginning of its shutdown, later than the other times of the stop, which count from the signal. Requests that arrived 3 s and more after the signal were accepted, and cut when they took longer than what was left.

The time now counts from the arrival of the signal like that of the whole shutdown, by one function. The 0.5 s in which new requests are refused does not: requests that arrived during the stall are read then. Without it their connections would be closed before they are, and their callers be told nothing.

Evidence: daemon.TestStalledProcessLingersFromItsSignal, with a fake clock, fails before in two of three cases: TestStalledProcessLingersFromItsSignal/stalled: new requests are still accepted TestStalledProcessLingersFromItsSignal/stalled_for_longer: new requests are still accepted

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -11,7 +11,8 @@
 )
 
 // refusalTime is how long a node that shuts down refuses new requests, so that callers
-// go elsewhere before its connections close.
+// go elsewhere before its connections close. It is not counted from the signal: after a stall of
+// the process, requests that arrived meanwhile are read and refused in it.
 const refusalTime = 500 * time.Millisecond
 
 // Requests in flight are aborted some time before the end of the shutdown: their callers still
@@ -36,9 +37,9 @@
 
 // GracePeriod holds the times of a shutdown.
 type GracePeriod struct {
-	// Linger is the time in which new requests are still accepted.
+	// Linger is the time from the signal in which new requests are still accepted.
 	Linger time.Duration
-	// Shutdown is the longest time until the node ends.
+	// Shutdown is the longest time from the signal until the node ends.
 	Shutdown time.Duration
 }
 
@@ -55,7 +56,7 @@
 // they would be missed.
 func (d *Daemon) shutdown(s *servers) error {
 	grace := d.gracePeriod()
-	remaining := d.remaining(grace)
+	remaining := d.remaining(grace.Shutdown)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	d.leaving.Store(true)
@@ -97,9 +98,11 @@
 	return func() { timer.Stop() }
 }
 
-// linger keeps serving callers for a time. Each answer closes its connection, so
+// linger keeps serving callers until a time after the signal. Each answer closes its connection, so
 // that no caller sends a request over a connection that is about to be closed.
-func (d *Daemon) linger(ctx context.Context, grace GracePeriod) { d.wait(ctx, grace.Linger) }
+func (d *Daemon) linger(ctx context.Context, grace GracePeriod) {
+	d.wait(ctx, d.remaining(grace.Linger))
+}
 
 // wait returns after a time, or when ctx is done.
 func (d *Daemon) wait(ctx context.Context, duration time.Duration) {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -24,13 +24,13 @@
 // WaitingFor does nothing.
 func (noStop) WaitingFor(string) {}
 
-// remaining returns the time left for the shutdown, counted from the arrival of the signal.
-func (d *Daemon) remaining(grace GracePeriod) time.Duration {
+// remaining returns what is left of a time that is counted from the arrival of the signal.
+func (d *Daemon) remaining(duration time.Duration) time.Duration {
 	at, signalled := d.stop.SignalledAt()
 	if !signalled {
-		return grace.Shutdown
+		return duration
 	}
-	return max(0, grace.Shutdown-d.clock.Since(at))
+	return max(0, duration-d.clock.Since(at))
 }
 
 // waitFor records what the shutdown waits for until done is called, which logs how long.
