Let an answer win that arrives while OnStall is asked

What was seen: a watcher that asked its owner about a silent exchange broke the exchange off afterwards, also when its answer had arrived in the meantime. The body of that answer could not be read any more.

Cause: watcher.check cancelled the exchange by the answer of OnStall alone. OnStall may call another node, which takes up to 250 ms.

Evidence: pooler.TestAnswerDuringOnStallIsNotCut fails on the code before with "err: the connection made no progress".

Fix: the exchange is cancelled only if it has not ended and no byte was transferred while OnStall decided. Both are read under the watcher's lock, which stop takes as well.

--- a/pooler/watcher.go
+++ b/pooler/watcher.go
@@ -47,14 +47,18 @@
 	}
 }
 
+// check cancels an exchange that makes no progress, unless it has ended or a byte was transferred
+// while onStall considered it.
 func (w *watcher) check() {
-	if stall := w.stall(); stall.Timeouts > 0 && (w.onStall == nil || w.onStall(stall)) {
-		w.cancel(errSilent)
-		return
-	}
+	stall := w.stall()
+	abandoned := stall.Timeouts > 0 && (w.onStall == nil || w.onStall(stall))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.stopped {
+	switch {
+	case w.stopped:
+	case abandoned && w.used.transfers() == w.transfers:
+		w.cancel(errSilent)
+	default:
 		w.timer.Reset(w.progress)
 	}
 }
--- /dev/null
+++ b/pooler/watcher_test.go
@@ -0,0 +1,49 @@
+package pooler_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/pooler"
+)
+
+// TestAnswerDuringOnStallIsNotCut guards against breaking off an answer that arrives while OnStall
+// considers whether to wait for it.
+func TestAnswerDuringOnStallIsNotCut(t *testing.T) {
+	is := is.New(t)
+	asked, decided := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-asked
+		_, _ = io.WriteString(w, "begun ")
+		_ = http.NewResponseController(w).Flush()
+		<-decided
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, "ended")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	is.NoErr(err)
+	received := make(chan struct{})
+	p := pooler.New(pooler.WithProgress(50 * time.Millisecond))
+	defer p.Close()
+	exchange, err := p.Send(context.Background(), pooler.Message{Address: address, Request: request, OnStall: func(pooler.Stall) bool {
+		close(asked)
+		<-received
+		close(decided)
+		return true
+	}})
+	is.NoErr(err)
+	defer exchange.Close()
+	close(received)
+	content, err := io.ReadAll(exchange.Response.Body)
+	is.NoErr(err)
+	is.Equal(string(content), "begun ended")
+}
