Wait for a silent owner that may be at work on a request that must run once

What callers saw: after SIGTERM of the caller's node, and in trials on 75 nodes with paths cut for 4 s one way, requests got 502 or 504 while a backend server was at work on them and most of their time was left.

Cause: the ingress abandoned a request that must run once after three progress timeouts (1.05 s) without a sign of life of its owner. Nothing was gained by it, as no other attempt may follow, and the answer was lost that TCP delivers once the path is back.

Evidence: forwarder.TestRequestThatMustRunOnceOutlastsASilentPath fails on the code before, in both cases: "504 != 200".

Ruled out: to wait for the deadline in any case. A process that has ended answers no more; its port refuses connections, or the membership holds it for dead, has forgotten it or knows it at another address. Then the request ends with an unknown outcome as before (TestRequestAtAnEndedOwnerIsNotWaitedFor). That a node has announced its departure is no such evidence: it does so up to 0.7 s before its end, while requests run.

Fix: from the second progress timeout on the ingress asks the owner for a seal at each one, over a fresh connection. A sealed attempt is sent again as before. One that is not sealed, or whose owner cannot be reached, goes on. What the owner answered is used for the proof as well, so that it is not asked twice. Idempotent requests that may be sent again are abandoned as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -13,16 +13,9 @@
 	"cowsliptally.example/cowsliptally/scrubber"
 )
 
-const (
-	// maxTickets bounds how often an attempt is sent, as each refusal of a stale ticket
-	// returns a fresh one.
-	maxTickets = 3
-	// maxSilences is the number of progress timeouts without a sign of life, about a
-	// second, after which a request is abandoned. Its outcome is then unknown.
-	maxSilences = 3
-	// maxSafeSilences is the same for a request that may run twice.
-	maxSafeSilences = 2
-)
+// maxTickets bounds how often an attempt is sent, as each refusal of a stale ticket
+// returns a fresh one.
+const maxTickets = 3
 
 // attempt sends a submission to the owner of a backend server once.
 func (f *Forwarder) attempt(ctx context.Context, s *submission, backend fleet.Backend, number int, mode attemptMode) *result {
@@ -75,14 +68,14 @@
 	if ctx.Err() != nil {
 		return refused(fleet.ContextReason(ctx), "the time limit passed before the request was sent")
 	}
-	d := &delivery{submission: s, owner: owner, number: number, ticket: f.tickets.get(owner.ID)}
+	d := newDelivery(s, owner, number, f.tickets.get(owner.ID))
 	request := f.outgoing(ctx, s, backend, owner, number, d.ticket)
 	mode.setHeader(request.Header)
 	exchange, err := f.pooler.Send(ctx, pooler.Message{
 		Address:         owner.PeerAddress,
 		Request:         request,
 		Content:         s.content.Bytes(),
-		OnStall:         func(stall pooler.Stall) bool { return f.handleSilence(d, stall.Timeouts) },
+		OnStall:         func(stall pooler.Stall) bool { return f.handleSilence(ctx, d, stall.Timeouts) },
 		OnInformational: d.recordProgress,
 	})
 	if err != nil {
@@ -96,23 +89,6 @@
 	return f.received(ctx, s, backend, exchange)
 }
 
-// handleSilence puts a node into backoff at its first progress timeout, and reports
-// whether the request that is waiting for it is abandoned. One that may not be sent again is
-// abandoned only with proof that it did not run, since then it may be.
-func (f *Forwarder) handleSilence(d *delivery, silences int) bool {
-	if silences == 1 {
-		f.backOff(d.owner, "no sign of life")
-	}
-	if !d.submission.idempotent {
-		return silences >= maxSilences
-	}
-	if silences < maxSafeSilences || !d.submission.lastForNow {
-		return silences >= maxSafeSilences
-	}
-	sealed, _ := f.seal(context.Background(), d, false)
-	return sealed
-}
-
 // handleSendFailure puts a node into backoff if no connection to it could be made or
 // nothing was received on its connection, unless the caller's deadline passed.
 func (f *Forwarder) handleSendFailure(ctx context.Context, owner fleet.Member, err error) {
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,9 +29,26 @@
 	owner      fleet.Member
 	number     int
 	ticket     string
+	// repeatable is set if another attempt may follow although this one may have run.
+	repeatable bool
 	// waiting is set while the last that the owner told is that the attempt waits, and that
 	// it will tell before it dispatches it.
 	waiting atomic.Bool
+	// answer is what the owner answered last when it was asked for a seal while it was silent;
+	// nil if it was not asked.
+	answer atomic.Pointer[sealAnswer]
+	// renewal renews the connections to the owner once.
+	renewal sync.Once
+}
+
+// sealAnswer is the answer to a request for a seal. With an error, there was none.
+type sealAnswer struct {
+	sealed bool
+	err    error
+}
+
+func newDelivery(s *submission, owner fleet.Member, number int, ticket string) *delivery {
+	return &delivery{submission: s, owner: owner, number: number, ticket: ticket, repeatable: s.idempotent && !s.lastForNow}
 }
 
 // recordProgress records an informational response of the owner.
@@ -45,8 +63,7 @@
 		return refused(reason, err.Error())
 	}
 	if reason == fleet.ReasonStalled {
-		f.pooler.Renew(d.owner.PeerAddress)
-		f.recorder.Record(fleet.NewEvent(fleet.EventStalled, string(d.owner.ID), string(reason)))
+		f.renew(d)
 	}
 	if reason == fleet.ReasonCancelled && !d.submission.granted {
 		return unknown(reason, "the caller left")
@@ -65,7 +82,7 @@
 // whose outcome is unknown, or a refusal if it is proved that the attempt did not run and
 // will not. docs/design/proofs.md lists what is proof.
 func (f *Forwarder) prove(ctx context.Context, d *delivery, exchange *pooler.Exchange, r *result) *result {
-	sealed, err := f.seal(ctx, d, exchange.Ended)
+	sealed, err := f.sealUnlessAnswered(ctx, d, exchange.Ended, r.outcome.Reason)
 	if sealed {
 		r.outcome.Executed = fleet.ExecutedNo
 	}
@@ -74,6 +91,15 @@
 	return r
 }
 
+// sealUnlessAnswered seals an attempt, unless the owner was asked while it was silent and its
+// answer holds: a seal does for good, a refusal if the attempt was given up for it.
+func (f *Forwarder) sealUnlessAnswered(ctx context.Context, d *delivery, ended bool, reason fleet.Reason) (bool, error) {
+	if answer := d.answer.Load(); answer != nil && (answer.sealed || reason == fleet.ReasonStalled) {
+		return answer.sealed, answer.err
+	}
+	return f.seal(ctx, d, ended)
+}
+
 // seal requests the owner, over a fresh connection, to seal an attempt. If the owner's
 // process has ended, the attempt is as good as sealed when the owner told that it waits, and
 // ended the connection in order without telling that it dispatched it. An error means that the
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -46,6 +46,13 @@
 	r.silent = make(chan struct{})
 }
 
+// cut stops all bytes on the present connections and on new ones until resume.
+func (r *relay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.silent)
+}
+
 // resume forwards the held bytes of all connections.
 func (r *relay) resume() { close(r.resumed) }
 
--- /dev/null
+++ b/forwarder/silent.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// handleSilence puts a node into backoff at its first progress timeout, and reports whether the
+// attempt that waits for it is abandoned.
+func (f *Forwarder) handleSilence(ctx context.Context, d *delivery, timeouts int) bool {
+	if timeouts == 1 {
+		f.backOff(d.owner, "no sign of life")
+	}
+	known := silence{timeouts: timeouts, repeatable: d.repeatable}
+	for ctx.Err() == nil {
+		switch known.next() {
+		case askOwner:
+			known.answer = f.askOwner(ctx, d)
+		case abandon:
+			return true
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// askOwner asks a silent owner to seal an attempt. Later requests take new connections to it.
+func (f *Forwarder) askOwner(ctx context.Context, d *delivery) ownerAnswer {
+	f.renew(d)
+	sealed, err := f.seal(ctx, d, false)
+	d.answer.Store(&sealAnswer{sealed: sealed, err: err})
+	switch {
+	case sealed:
+		return ownerSealed
+	case err == nil:
+		return ownerRefused
+	case errors.Is(err, syscall.ECONNREFUSED) || f.isGone(d.owner):
+		return ownerEnded
+	default:
+		return ownerUnreachable
+	}
+}
+
+// isGone reports whether the fleet holds a node's process for ended. One that has announced its
+// departure may still run requests.
+func (f *Forwarder) isGone(owner fleet.Member) bool {
+	member, found := f.directory.Member(owner.ID)
+	return !found || member.State == fleet.MemberDead || member.PeerAddress != owner.PeerAddress
+}
+
+// renew leaves the pooled connections to the owner of an attempt, once for each attempt.
+func (f *Forwarder) renew(d *delivery) {
+	d.renewal.Do(func() {
+		f.pooler.Renew(d.owner.PeerAddress)
+		f.recorder.Record(fleet.NewEvent(fleet.EventStalled, string(d.owner.ID), string(fleet.ReasonStalled)))
+	})
+}
