Read the rest of the upload in the test of early answers

The backend server of TestCutEarlyAnswerIsUnknown closed its connection 100 ms after an early answer with a length, with the upload unread. The cases with a length check that whole answers are delivered, so their backend server now reads on, as the pooler's test does. The cases that are cut are unchanged.

--- a/dispatcher/early_test.go
+++ b/dispatcher/early_test.go
@@ -29,20 +29,25 @@
 func TestCutEarlyAnswerIsUnknown(t *testing.T) {
 	const body = "too large"
 	length := fmt.Sprint("Content-Length: ", len(body))
-	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
-	end := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	reset := func(c *net.TCPConn, _ io.Reader) {
+		time.Sleep(10 * time.Millisecond) // the answer is being read
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	end := func(c *net.TCPConn, _ io.Reader) { _ = c.CloseWrite() }
+	readRest := func(_ *net.TCPConn, rest io.Reader) { _, _ = io.Copy(io.Discard, rest) }
 	for name, tc := range map[string]struct {
 		status  string
 		headers []string
-		end     func(*net.TCPConn)
+		end     func(c *net.TCPConn, rest io.Reader)
 		outcome string
 		code    int
 	}{
 		"no length, reset": {"200 OK", nil, reset, "unknown broken", http.StatusBadGateway},
 		"no length, end":   {"200 OK", nil, end, "unknown broken", http.StatusBadGateway},
-		"length":           {"413 Content Too Large", []string{length}, end, "yes ", http.StatusRequestEntityTooLarge},
+		"length":           {"413 Content Too Large", []string{length}, readRest, "yes ", http.StatusRequestEntityTooLarge},
 		"refusal": {
-			"503 Service Unavailable", []string{length, fleet.HeaderExecuted + ": no", fleet.HeaderReason + ": busy"}, end,
+			"503 Service Unavailable", []string{length, fleet.HeaderExecuted + ": no", fleet.HeaderReason + ": busy"}, readRest,
 			"no busy", http.StatusServiceUnavailable,
 		},
 	} {
@@ -51,16 +56,14 @@
 			is := is.New(t)
 			l := newLocal(t)
 			l.backend.Address = listen(t, func(c net.Conn) {
-				defer c.Close()
+				t.Cleanup(func() { _ = c.Close() })
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return // a probe
 				}
 				_, _ = io.CopyN(io.Discard, r.Body, 1<<10)
 				_, _ = io.WriteString(c, head(tc.status, r.Header.Get(fleet.HeaderRequestID), append(tc.headers, "Connection: close")...)+body)
-				time.Sleep(10 * time.Millisecond) // the answer is being read
-				tc.end(c.(*net.TCPConn))
-				time.Sleep(100 * time.Millisecond)
+				tc.end(c.(*net.TCPConn), r.Body)
 			})
 			d := dispatcher.New("node", l, dispatcher.WithUndelimitedAnswers(), dispatcher.WithMaxBodySize(uploadSize))
 			ticket := send(d, "t", "1", "", "false").Header().Get(fleet.HeaderTicket)
