Refuse attempts until other nodes know that a node leaves

Callers got 502 for requests that may run twice, and retries were charged, while nodes stopped as planned and nothing else happened: an owner without work closed its connections at the moment at which it told the others that it leaves. Attempts on their way met the close, and their outcome was unknown.

Cause: since a stopping node keeps its backend servers in use until its end, other nodes hear of the end only when it comes.

The port for nodes is now closed 300 ms after the departure was told, while callers' connections are closed. Until then attempts are refused with proof, as by any leaving node, and count as no attempt.

Evidence: TestAttemptsAreRefusedUntilOthersKnowThatTheNodeLeaves failed before, as no attempt was refused at all ("not true: !refused.IsZero()"); refused for 0.30 s now.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -93,10 +93,12 @@
 	}
 }
 
-// close waits for connections in use and closes both servers.
-func (s *servers) close(ctx context.Context) error {
+// close waits for connections in use and closes both servers, that of the peers once they have been told.
+func (s *servers) close(ctx context.Context, waitUntilTold func()) error {
 	defer s.unused.closeSoon()()
-	err := errors.Join(s.callers.Shutdown(ctx), s.peers.Shutdown(ctx))
+	err := s.callers.Shutdown(ctx)
+	waitUntilTold()
+	err = errors.Join(err, s.peers.Shutdown(ctx))
 	err = errors.Join(err, s.callers.Close(), s.peers.Close())
 	return errors.Join(err, s.callerListener.Wait(ctx))
 }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -35,6 +35,11 @@
 // that the node leaves. They hear of it within 200 ms.
 const leaveTime = 400 * time.Millisecond
 
+// departureTime is how long a node that has told the others that it leaves still refuses their
+// attempts: nine of ten nodes have heard of it by then. The outcome of an attempt that meets the
+// close of its connection would be unknown.
+const departureTime = 300 * time.Millisecond
+
 // GracePeriod holds the times of a shutdown.
 type GracePeriod struct {
 	// Linger is the time from the signal in which new requests are still accepted.
@@ -72,6 +77,7 @@
 	d.wait(ctx, refusalTime)
 	waited()
 	left := d.withdraw(ctx, end.Add(-leaveTime))
+	told := d.clock.Now()
 	defer d.waitFor("requests in flight and connections")()
 	defer await(ctx, left)
 	// net/http closes each connection behind its current answer once a server shuts down, so
@@ -80,7 +86,7 @@
 	if waitErr != nil {
 		d.logger.Warn("unfinished", "node", d.self.ID, "work", d.work.Summary())
 	}
-	err := errors.Join(waitErr, s.close(ctx))
+	err := errors.Join(waitErr, s.close(ctx, func() { d.wait(ctx, departureTime-d.clock.Since(told)) }))
 	d.forwarder.Close()
 	d.dispatcher.Close()
 	if err == nil {
