Take no answer with an invalid status for a final one

Callers got an answer with status 101 that nobody asked for, and answers with a status of no class such as 600. An answer with status 000 or 099 broke the connection between ingress and owner: the owner passed it on, and net/http panics on writing it. The caller got 502, but the owner had counted the attempt as a success.

Cause: net/http returns 101 as a final answer, and any status of three characters that read as a number not below 0, also "+20".

Change: the pooler takes only statuses from 200 to 599 for final ones, so the rule holds at both hops, and for an ingress whose owner is of an earlier build. Others fail as broken, the result is unknown (502), and their connection is closed. For 600 to 999 RFC 9110, section 15, has a client treat the answer as one with a 5xx; 502 is one, and the status itself tells a caller nothing.

Held before, and in the tests: 20, 1000, -20, abc, 0 and none fail; 100, 102, 103 and 199 are never final when the connection ends after one (TestInterimAnswerIsNotFinal), and more than 4,096 of 100, 103 or 199 break the exchange as those of 102 do.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -189,10 +189,8 @@
 		p.Renew(m.Address)
 	}
 	response, err := p.pool(m.Address).RoundTrip(request)
-	if err == nil && used.wroteNothing(before) {
-		// The answer belongs to an earlier request on a connection that was broken off.
-		_ = response.Body.Close()
-		err = net.ErrClosed
+	if err == nil {
+		err = used.accept(response, before)
 	}
 	if err == nil {
 		exchange.setResponse(response)
