Silence a path only after its witness has answered

TestSilentBackendConnectionIsNotAttributed failed at times beside other work: 504 after 10 s in place of 200.

The test silences the connections to a backend server after 20 requests. A cut is found only by a witness that has answered before it. The witness is asked in the background from the first request on a kept connection, so 20 quick requests can end before its first answer. Connections opened within the second before a cut are a limit that the design states (docs/design/silence.md); callers then wait for their deadline. The product is not changed.

The test now goes on sending requests until the relay has passed on an answer to an open witness, for 20 s at most. All that it checks after that is unchanged.

--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -323,8 +323,10 @@
 		group.Go(func() { sendRequest(t, r, "GET", "/warm", "", fleet.HeaderKind, "warm") })
 	}
 	group.Wait()
-	for range 20 {
-		sendRequest(t, r, "GET", "/", "") // records the usual time of the kind
+	// Records the usual time of the kind. A cut is found only if the witness has answered before.
+	for i, end := 0, time.Now().Add(20*time.Second); i < 20 || relay.witnesses.Load() == 0; i++ {
+		is.True(time.Now().Before(end))
+		sendRequest(t, r, "GET", "/", "")
 	}
 	relay.silence()
 	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "read")
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -1,10 +1,12 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -17,6 +19,8 @@
 	silent chan struct{}
 	// resumed is closed to forward silenced bytes after all.
 	resumed chan struct{}
+	// witnesses counts the open connections over which a verifier's question was answered.
+	witnesses atomic.Int32
 }
 
 func newRelay(t testing.TB, target string) *relay {
@@ -65,11 +69,24 @@
 	r.mu.Lock()
 	silent := r.silent
 	r.mu.Unlock()
-	go r.pass(to, from, silent)
-	r.pass(from, to, silent)
+	var asked, answered atomic.Bool
+	go func() {
+		r.pass(to, from, silent, func(content []byte) {
+			asked.Store(asked.Load() || bytes.HasPrefix(content, []byte("OPTIONS * ")))
+		})
+		if answered.Load() {
+			r.witnesses.Add(-1)
+		}
+	}()
+	r.pass(from, to, silent, func([]byte) {
+		if asked.Load() && answered.CompareAndSwap(false, true) {
+			r.witnesses.Add(1)
+		}
+	})
 }
 
-func (r *relay) pass(to, from net.Conn, silent chan struct{}) {
+// pass forwards one direction of a connection, and calls seen with what it is about to forward.
+func (r *relay) pass(to, from net.Conn, silent chan struct{}, seen func([]byte)) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -78,6 +95,9 @@
 			<-r.resumed
 		default:
 		}
+		if n > 0 {
+			seen(buffer[:n])
+		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
 			if errors.Is(err, io.EOF) {
 				_ = to.(*net.TCPConn).CloseWrite()
