Hand back what other backend servers can do in time

An attempt is now kept only if it ends before the node: by its deadline, or as expected from its dispatch. It is not handed back any more once its answer is passed on.

Of the table of the dispatcher's test the case "less time left than its kind takes" expected the answer and now expects the hand-back, for this reason; new are the deadline before the end of the node and an expected end before it, and the node lives for 0.7 s in all cases.

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -66,7 +66,7 @@
 	defer cancel()
 	d.leaving.Store(true)
 	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "work", d.work.Summary(), "within", remaining)
-	defer d.abortAfter(AbortAfter(remaining))()
+	defer d.abortAfter(AbortAfter(remaining), d.clock.Now().Add(remaining))()
 	end := d.clock.Now().Add(AbortAfter(remaining))
 	d.dispatcher.Stop(end)
 	waited := d.waitFor("callers that go elsewhere")
@@ -96,10 +96,11 @@
 }
 
 // abortAfter aborts callers' requests and hands back those of other nodes after a time, unless stop is called before.
-func (d *Daemon) abortAfter(duration time.Duration) (stop func()) {
+// The node ends at end.
+func (d *Daemon) abortAfter(duration time.Duration, end time.Time) (stop func()) {
 	timer := d.clock.AfterFunc(duration, func() {
 		d.forwarder.Abort()
-		d.dispatcher.HandBack()
+		d.dispatcher.HandBack(end)
 	})
 	return func() { timer.Stop() }
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -34,6 +34,10 @@
 	// silent is set when the connection, not the backend server, may be at fault, and cut when
 	// it is.
 	silent, cut atomic.Bool
+	// began is when the request was sent to the backend server; nil before.
+	began atomic.Pointer[time.Time]
+	// keep keeps the attempt from being handed back.
+	keep func() bool
 }
 
 // serve waits for a slot, dispatches the attempt and answers it.
@@ -50,6 +54,8 @@
 		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
 	}
+	began := d.clock.Now()
+	a.began.Store(&began)
 	a.gate.start(id, a.call.kind)
 	result, took := a.runObserved(ctx)
 	a.finish(id, result, took)
@@ -63,6 +69,7 @@
 		d.refuse(w, a.call, result.outcome, result.message)
 		return
 	}
+	a.keep() // the ingress may pass on a part of the answer, and no other attempt can follow then
 	d.clear(a.call.identity)
 	if result.complete {
 		a.gate.leave(id, a.call.kind, max(took, 1))
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -10,10 +10,6 @@
 	"cowsliptally.example/cowsliptally/sealer"
 )
 
-// minRetryTime is the least time left in which another attempt is taken to be in time: a round
-// trip between zones and a short request.
-const minRetryTime = 100 * time.Millisecond
-
 // call is one attempt as its ingress described it.
 type call struct {
 	request      fleet.RequestID
@@ -48,10 +44,14 @@
 // repeatable reports whether another attempt may follow if this one is cut.
 func (c call) repeatable() bool { return c.idempotent && !c.last }
 
-// mayRunElsewhere reports whether another attempt may follow if this one is cut now, and can
-// still be in time where its kind is expected to take this long.
-func (c call) mayRunElsewhere(now time.Time, expected time.Duration) bool {
-	return c.repeatable() && c.deadline.Sub(now) > max(minRetryTime, expected)
+// isHandedBack reports whether a node that ends at a time hands the attempt back: another one may
+// follow, and this one is unlikely to end here. How long its kind takes here says little of other
+// backend servers.
+func (c call) isHandedBack(now, expectedEnd, nodeEnd time.Time) bool {
+	if !c.repeatable() || c.deadline.Sub(now) <= minRetryTime || c.deadline.Before(nodeEnd) {
+		return false
+	}
+	return !expectedEnd.After(now) || expectedEnd.After(nodeEnd)
 }
 
 // parseCall reads the headers between nodes.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,6 +65,8 @@
 	// handingBack is cancelled when the requests that may run again elsewhere are handed back.
 	handingBack context.Context
 	handBack    context.CancelFunc
+	// nodeEnd is when the node ends; nil until requests are handed back.
+	nodeEnd atomic.Pointer[time.Time]
 
 	// declined counts the attempts that were refused because the node or their backend server
 	// leaves.
@@ -188,8 +190,8 @@
 	}
 	defer content.Release()
 	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r, content: content.Bytes()}
-	ctx, end := a.endedByHandBack(ctx)
-	defer end()
+	ctx, release := a.withHandBack(ctx)
+	defer release()
 	a.serve(ctx, w)
 }
 
--- a/dispatcher/silence.go
+++ b/dispatcher/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cowsliptally.example/cowsliptally/drainer"
 	"cowsliptally.example/cowsliptally/fleet"
@@ -9,6 +10,10 @@
 	"cowsliptally.example/cowsliptally/verifier"
 )
 
+// minRetryTime is the least time left in which another attempt is taken to be in time: a round
+// trip between zones and a short request.
+const minRetryTime = 100 * time.Millisecond
+
 // abandonSilent reports whether to abandon a request on a connection to the backend server
 // without progress for a progress timeout. Silence alone is no reason, as a backend server that
 // works sends nothing either: it takes evidence that a cut has silenced the connection.
@@ -34,12 +39,11 @@
 
 // mayAbandon reports whether another attempt is allowed and can still be in time.
 func (a *attempt) mayAbandon() bool {
-	return !a.dispatcher.work.Closed(drainer.Attempts) && a.mayRunElsewhere()
-}
-
-// mayRunElsewhere reports whether another attempt may follow if this one is cut now.
-func (a *attempt) mayRunElsewhere() bool {
-	return a.call.mayRunElsewhere(a.dispatcher.clock.Now(), a.gate.expected(a.call.kind))
+	if !a.call.idempotent || a.call.last || a.dispatcher.work.Closed(drainer.Attempts) {
+		return false
+	}
+	left := a.call.deadline.Sub(a.dispatcher.clock.Now())
+	return left > max(minRetryTime, a.gate.expected(a.call.kind))
 }
 
 // class classifies the result for the health evaluation. A timeout on a silent
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -35,24 +35,37 @@
 	}
 }
 
-// HandBack ends the attempts in flight that may run again elsewhere and can still be in time there:
-// their ingresses learn that the node stops. The others go on until it ends.
-func (d *Dispatcher) HandBack() { d.handBack() }
+// HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that the
+// node stops. Those that end before the node does, which is at a time, go on.
+func (d *Dispatcher) HandBack(end time.Time) {
+	d.nodeEnd.Store(&end)
+	d.handBack()
+}
 
-// endedByHandBack returns a context that ends when the attempt is handed back.
-func (a *attempt) endedByHandBack(ctx context.Context) (context.Context, func()) {
+// withHandBack returns a context that ends when the attempt is handed back, and a function that
+// releases it.
+func (a *attempt) withHandBack(ctx context.Context) (_ context.Context, release func()) {
 	ctx, end := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(a.dispatcher.handingBack, func() {
-		if a.mayRunElsewhere() {
+	a.keep = context.AfterFunc(a.dispatcher.handingBack, func() {
+		if a.call.isHandedBack(a.dispatcher.clock.Now(), a.expectedEnd(), *a.dispatcher.nodeEnd.Load()) {
 			end(fleet.ErrStopped)
 		}
 	})
 	return ctx, func() {
-		stop()
+		a.keep()
 		end(nil)
 	}
 }
 
+// expectedEnd returns when the attempt is expected to end; zero if that is not known.
+func (a *attempt) expectedEnd() time.Time {
+	began, expected := a.began.Load(), a.gate.expected(a.call.kind)
+	if began == nil || expected == 0 {
+		return time.Time{}
+	}
+	return began.Add(expected)
+}
+
 // Drain refuses all new attempts; those in slots continue.
 func (d *Dispatcher) Drain() {
 	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -13,39 +13,46 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
-// TestOnlyWhatCanBeInTimeElsewhereIsHandedBack guards against a stopping owner that ends requests at
-// which its backend server works, with too little time left for any other.
-func TestOnlyWhatCanBeInTimeElsewhereIsHandedBack(t *testing.T) {
+// TestWhatEndsBeforeItsNodeIsNotHandedBack guards against a stopping owner that ends requests at which its
+// backend server works, although the node outlives them.
+func TestWhatEndsBeforeItsNodeIsNotHandedBack(t *testing.T) {
 	const (
-		usual = time.Second
-		work  = 2500 * time.Millisecond
+		work    = 2500 * time.Millisecond
+		after   = 2300 * time.Millisecond
+		nodeEnd = after + 700*time.Millisecond
 	)
 	for name, tc := range map[string]struct {
 		idempotent, last string
-		timeout, after   time.Duration
+		usual, timeout   time.Duration
 		outcome          string
 	}{
-		"time for another attempt":        {idempotent: "true", timeout: 5 * time.Second, after: 2300 * time.Millisecond, outcome: "unknown stopped"},
-		"less time than its kind takes":   {idempotent: "true", timeout: 3200 * time.Millisecond, after: 2300 * time.Millisecond, outcome: "yes "},
-		"time, but no other attempt":      {idempotent: "true", last: "true", timeout: 5 * time.Second, after: 300 * time.Millisecond, outcome: "yes "},
-		"time, but it must not run again": {idempotent: "false", timeout: 5 * time.Second, after: 300 * time.Millisecond, outcome: "yes "},
+		"it usually takes no time":        {idempotent: "true", timeout: 5 * time.Second, outcome: "unknown stopped"},
+		"it takes longer than usual":      {idempotent: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "unknown stopped"},
+		"less time left than usual":       {idempotent: "true", usual: time.Second, timeout: nodeEnd + 200*time.Millisecond, outcome: "unknown stopped"},
+		"its deadline is before":          {idempotent: "true", usual: time.Second, timeout: nodeEnd - 100*time.Millisecond, outcome: "yes "},
+		"it is expected to end before":    {idempotent: "true", usual: work, timeout: 5 * time.Second, outcome: "yes "},
+		"time, but no other attempt":      {idempotent: "true", last: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
+		"time, but it must not run again": {idempotent: "false", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			worked := &atomic.Int64{}
-			worked.Store(int64(usual))
+			worked.Store(int64(tc.usual))
 			l, _ := relayed(t, worked)
 			d := dispatcher.New("node", l)
 			defer d.Close()
 			ticket := send(d, "t", "1", "", "true").Header().Get(fleet.HeaderTicket)
-			var sends sync.WaitGroup
-			for i := range l.backend.Slots {
-				sends.Go(func() { send(d, "usual"+strconv.Itoa(i), "1", ticket, "true") })
+			if tc.usual > 0 {
+				var sends sync.WaitGroup
+				for i := range l.backend.Slots {
+					sends.Go(func() { send(d, "usual"+strconv.Itoa(i), "1", ticket, "true") })
+				}
+				sends.Wait()
 			}
-			sends.Wait()
 			worked.Store(int64(work))
-			time.AfterFunc(tc.after, d.HandBack)
+			end := time.Now().Add(nodeEnd)
+			time.AfterFunc(after, func() { d.HandBack(end) })
 			answer := send(d, "r", "1", ticket, tc.idempotent, fleet.HeaderLastAttempt, tc.last,
 				fleet.HeaderTimeout, strconv.FormatInt(tc.timeout.Milliseconds(), 10))
 			is.Equal(outcome(answer), tc.outcome)
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/jonboulle/clockwork"
@@ -217,3 +218,6 @@
 	defer o.mu.Unlock()
 	o.crashed++
 }
+
+// handBack hands back as a node does that ends 300 ms later.
+func (o *owner) handBack() { o.dispatcher.HandBack(time.Now().Add(300 * time.Millisecond)) }
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/retrier"
@@ -49,7 +52,7 @@
 		status <- response.StatusCode
 	}()
 	<-running
-	stopped.dispatcher.HandBack()
+	stopped.handBack()
 	is.Equal(<-status, http.StatusOK)
 	is.Equal(other.count("handed-back"), 1)
 }
@@ -80,7 +83,7 @@
 		status <- response.StatusCode
 	}()
 	<-running
-	stopped.dispatcher.HandBack()
+	stopped.handBack()
 	is.Equal(<-status, http.StatusOK)
 	is.Equal(other.count("handed-back"), 1)
 }
@@ -104,7 +107,7 @@
 	<-running
 	first.setState(fleet.BackendReady)
 	time.Sleep(400 * time.Millisecond) // longer than the ingress remembers the refusal
-	stopped.dispatcher.HandBack()
+	stopped.handBack()
 	select {
 	case got := <-status:
 		is.Equal(got, http.StatusOK)
@@ -130,7 +133,7 @@
 				status <- response.StatusCode
 			}()
 			<-running
-			stopped.dispatcher.HandBack()
+			stopped.handBack()
 			select {
 			case got := <-status:
 				t.Errorf("answered %d before it ended", got)
@@ -159,3 +162,64 @@
 		is.Equal(last.count(method), 1)
 	}
 }
+
+// TestSlowOwnerDoesNotKeepWhatOthersCanDoInTime guards against a stopping owner that keeps a request
+// because its own backend server is slow, while another one would take it.
+func TestSlowOwnerDoesNotKeepWhatOthersCanDoInTime(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(noBudget()))
+	running := make(chan struct{}, 1)
+	stopped := r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(fleet.HeaderRequestID) == "usual" {
+			time.Sleep(1500 * time.Millisecond)
+			w.Header().Set(fleet.HeaderRequestID, "usual")
+			return
+		}
+		running <- struct{}{}
+		<-q.Context().Done()
+	}))
+	sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "usual")
+	other := newLedger()
+	r.addOwner("b", other)
+	go func() {
+		<-running
+		time.Sleep(700 * time.Millisecond)
+		stopped.handBack() // 1.3 s are left
+		time.Sleep(300 * time.Millisecond)
+		stopped.peer.CloseClientConnections()
+		_ = stopped.peer.Listener.Close()
+	}()
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "kept", fleet.HeaderTimeout, "2000")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count("kept"), 1)
+}
+
+// TestStreamedAnswerIsNotHandedBack guards against a stopping owner that cuts an answer of which its
+// caller has a part already, so that no other attempt can follow.
+func TestStreamedAnswerIsNotHandedBack(t *testing.T) {
+	is := is.New(t)
+	const part = 5000
+	r := newRig(t, forwarder.WithMaxAnswerSize(1000))
+	running := make(chan struct{}, 1)
+	stopped := r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(fleet.HeaderRequestID, q.Header.Get(fleet.HeaderRequestID))
+		w.Header().Set("Content-Length", strconv.Itoa(2*part))
+		_, _ = w.Write(make([]byte, part))
+		_ = http.NewResponseController(w).Flush()
+		running <- struct{}{}
+		time.Sleep(300 * time.Millisecond)
+		_, _ = w.Write(make([]byte, part))
+	}), dispatcher.WithMaxAnswerSize(1000))
+	r.addOwner("b", newLedger())
+	go func() {
+		<-running
+		time.Sleep(100 * time.Millisecond)
+		stopped.handBack()
+	}()
+	response, err := http.Get(r.caller.URL + "/")
+	is.NoErr(err)
+	defer response.Body.Close()
+	n, err := io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(2*part))
+}
