Reserve the next attempt before a silent one is given up

What callers saw: in trials on 75 nodes with paths cut for 4 s one way, idempotent requests got 502 or 504 after 1.4 s, with up to 18 s left: their owner had been silent for 0.7 s, three other owners refused to pay for the retry ("silent; budget; budget; connect"), and the answer of the first backend server, which was at work, found no one when the path was back.

Cause: handleSilence gave an idempotent attempt up after two progress timeouts, before it was known whether another one could be made.

Fix: after two progress timeouts the owner is asked for a seal first. If the attempt may run, the next one is offered, in no-wait mode, to up to three other owners, and the present one is abandoned only when one has reserved a slot. The next attempt goes to that backend server under the number that was offered, so that the owner finds its reservation. If none reserves, the request goes on and they are asked again at the next progress timeout. The retry is charged once: by the owner with its reservation, or by the ingress after it. An owner whose process has ended is left at once, as before. The watcher's goroutine reads a copy of the submission's state and hands the result back through an atomic pointer. An answer that arrives meanwhile wins.

The second lost owner, less than 100 ms left and trial runs of suspects are waited for, since no other attempt may follow them in time. Owners of a build without offers get the next attempt as before, and charge it when it is dispatched.

The effect on the trials with cut paths was not measured.

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -27,12 +27,15 @@
 	leavingRefusals int
 	// retryCause is the failure whose retry was to be charged to owners' retry budgets.
 	retryCause *result
+	// successor is the next attempt if a slot is reserved for it; nil if it is not.
+	successor *successor
 	// errorAnswer is an answer that reports an error, kept in case no better one follows.
 	errorAnswer *result
 }
 
 // recordAttempt updates the state after a failed attempt.
 func (a *attemptState) recordAttempt(backend fleet.Backend, last *result) {
+	a.successor = last.successor
 	switch {
 	case last.leaving():
 		a.leavingRefusals++
@@ -54,15 +57,15 @@
 	}
 	if last.outcome.Reason == fleet.ReasonStopped {
 		// It ran for a while: refusals from before say nothing of the owners that are left, and those
-		// that stopped then have started again.
+		// that stopped then may have started again.
 		a.deadlineRefusals, a.leaving = 0, nil
 	}
 }
 
-// hasUntried reports whether at least count candidates are neither tried nor excluded.
-func (a *attemptState) hasUntried(count int, excluded ...fleet.BackendID) bool {
+// hasUntried reports whether at least count candidates were not tried.
+func (a *attemptState) hasUntried(count int) bool {
 	for _, candidate := range a.candidates {
-		if slices.Contains(a.tried, candidate.ID) || slices.Contains(excluded, candidate.ID) {
+		if slices.Contains(a.tried, candidate.ID) {
 			continue
 		}
 		if count--; count <= 0 {
--- a/forwarder/offer.go
+++ b/forwarder/offer.go
@@ -20,9 +20,16 @@
 	if ctx.Err() != nil {
 		return refused(fleet.ContextReason(ctx), "the time limit passed before the attempt was offered")
 	}
+	_, refusal := f.sendOffer(ctx, s, backend, owner, number, mode)
+	return refusal
+}
+
+// sendOffer offers an attempt to an owner. It returns why the attempt is not to be sent, or nil and
+// whether the owner has reserved a slot.
+func (f *Forwarder) sendOffer(ctx context.Context, s *submission, backend fleet.Backend, owner fleet.Member, number int, mode attemptMode) (reserved bool, refusal *result) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+owner.PeerAddress+dispatcher.OfferPath, nil)
 	if err != nil {
-		return refused(fleet.ReasonConnect, err.Error())
+		return false, refused(fleet.ReasonConnect, err.Error())
 	}
 	request.Header["User-Agent"] = nil
 	f.describe(request.Header, s, backend, number)
@@ -33,7 +40,7 @@
 		OnStall: func(pooler.Stall) bool { return true },
 	})
 	if err != nil {
-		return f.unansweredOffer(ctx, owner, err)
+		return false, f.unansweredOffer(ctx, owner, err)
 	}
 	f.markReachable(owner)
 	return f.receivedOffer(s, backend, exchange)
@@ -60,28 +67,28 @@
 	return r
 }
 
-// receivedOffer returns nil if the owner reserved a slot, or does not know offers. Otherwise
-// it returns the owner's refusal.
-func (f *Forwarder) receivedOffer(s *submission, backend fleet.Backend, exchange *pooler.Exchange) *result {
+// receivedOffer reports whether the owner reserved a slot, or returns its refusal. An owner that
+// does not know offers does neither.
+func (f *Forwarder) receivedOffer(s *submission, backend fleet.Backend, exchange *pooler.Exchange) (reserved bool, refusal *result) {
 	header := exchange.Response.Header
 	if exchange.Response.StatusCode == http.StatusNotFound && header.Get(fleet.HeaderRequestID) == "" {
 		drain(exchange.Response.Body)
 		exchange.Close()
-		return nil
+		return false, nil
 	}
 	f.tickets.put(backend.Owner, header.Get(fleet.HeaderTicket))
 	if header.Get(fleet.HeaderRequestID) != string(s.id) {
 		exchange.Break()
-		return refused(fleet.ReasonBroken, "the owner answered another offer")
+		return false, refused(fleet.ReasonBroken, "the owner answered another offer")
 	}
 	f.report(backend, header)
 	if fleet.Reason(header.Get(fleet.HeaderReason)) == fleet.ReasonOffered {
 		drain(exchange.Response.Body)
 		exchange.Close()
-		return nil
+		return true, nil
 	}
 	f.recordSuspect(s, header)
 	r := f.refusedByOwner(exchange, fleet.Executed(header.Get(fleet.HeaderExecuted)))
 	r.outcome.Executed = fleet.ExecutedNo
-	return r
+	return false, r
 }
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -29,8 +29,12 @@
 	owner      fleet.Member
 	number     int
 	ticket     string
-	// repeatable is set if another attempt may follow although this one may have run.
-	repeatable bool
+	deadline   time.Time
+	// succession finds the attempt that follows if this one is given up although it may run; nil if
+	// none may.
+	succession *succession
+	// successor is that attempt, once a slot is reserved for it.
+	successor atomic.Pointer[successor]
 	// waiting is set while the last that the owner told is that the attempt waits, and that
 	// it will tell before it dispatches it.
 	waiting atomic.Bool
@@ -48,7 +52,7 @@
 }
 
 func newDelivery(s *submission, owner fleet.Member, number int, ticket string) *delivery {
-	return &delivery{submission: s, owner: owner, number: number, ticket: ticket, repeatable: s.idempotent && !s.lastForNow}
+	return &delivery{submission: s, owner: owner, number: number, ticket: ticket, deadline: s.deadline, succession: s.succession}
 }
 
 // recordProgress records an informational response of the owner.
@@ -68,7 +72,11 @@
 	if reason == fleet.ReasonCancelled && !d.submission.granted {
 		return unknown(reason, "the caller left")
 	}
-	return f.prove(ctx, d, exchange, unknown(reason, err.Error()))
+	r := f.prove(ctx, d, exchange, unknown(reason, err.Error()))
+	if reason == fleet.ReasonStalled {
+		r.successor = d.successor.Load()
+	}
+	return r
 }
 
 // misanswered returns the result of an attempt that was answered as another request, or by
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -23,6 +23,8 @@
 	reached bool
 	// noWaitRefused is set when the owner had no free slot for a no-wait attempt.
 	noWaitRefused bool
+	// successor is the next attempt if a slot is reserved for it.
+	successor *successor
 	// took is how long the attempt lasted.
 	took time.Duration
 	// retryAfter is the time until there is room, if it is known.
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -1,8 +1,14 @@
 package forwarder
 
-// askAfter is the number of progress timeouts without a sign of life, 0.7 s, after which an owner
-// is asked about an attempt.
-const askAfter = 2
+import "time"
+
+const (
+	// askAfter is the number of progress timeouts without a sign of life, 0.7 s, after which an owner
+	// is asked about an attempt.
+	askAfter = 2
+	// minRetryTime is the least time left in which another attempt is taken to be in time.
+	minRetryTime = 100 * time.Millisecond
+)
 
 // silentStep is what follows from the silence of an owner.
 type silentStep uint8
@@ -12,6 +18,8 @@
 	keepWaiting silentStep = iota
 	// askOwner asks the owner to seal the attempt.
 	askOwner
+	// reserveNext has another owner reserve a slot for the next attempt.
+	reserveNext
 	// abandon gives the attempt up.
 	abandon
 )
@@ -32,27 +40,48 @@
 	ownerEnded
 )
 
+// slotSearch is the search for a slot for the next attempt.
+type slotSearch uint8
+
+const (
+	// notSearched is the state before other owners are asked.
+	notSearched slotSearch = iota
+	// noSlot means that none of them has reserved a slot.
+	noSlot
+	// slotReserved means that one has.
+	slotReserved
+)
+
 // silence is what is known about an attempt whose owner gives no sign of life.
 type silence struct {
 	// timeouts is the number of progress timeouts in a row without one.
 	timeouts int
 	// repeatable is set if another attempt may follow although this one may have run.
 	repeatable bool
-	answer     ownerAnswer
+	// lastLoss is set if none may follow once this owner counts as lost as well.
+	lastLoss bool
+	// left is the time until the deadline.
+	left   time.Duration
+	answer ownerAnswer
+	search slotSearch
 }
 
-// next returns what to do. An attempt after which none may follow is given up only if nothing is
-// lost by it: its backend server may be at work.
+// next returns what to do. An attempt is given up only if nothing is lost by it, as its backend
+// server may be at work: it did not run, its answer cannot come, or the next attempt is certain.
 func (s silence) next() silentStep {
 	switch {
 	case s.timeouts < askAfter:
 		return keepWaiting
-	case s.repeatable:
-		return abandon
 	case s.answer == notAsked:
 		return askOwner
 	case s.answer == ownerSealed || s.answer == ownerEnded:
 		return abandon
+	case !s.repeatable || s.left < minRetryTime || s.lastLoss && s.answer == ownerUnreachable:
+		return keepWaiting
+	case s.search == notSearched:
+		return reserveNext
+	case s.search == slotReserved:
+		return abandon
 	default:
 		return keepWaiting
 	}
--- a/forwarder/silent.go
+++ b/forwarder/silent.go
@@ -14,11 +14,23 @@
 	if timeouts == 1 {
 		f.backOff(d.owner, "no sign of life")
 	}
-	known := silence{timeouts: timeouts, repeatable: d.repeatable}
+	known := silence{
+		timeouts:   timeouts,
+		repeatable: d.succession != nil,
+		lastLoss:   d.succession != nil && d.succession.submission.lostOwners+1 >= maxLostOwners,
+	}
+	d.successor.Store(nil) // one of an earlier silence
 	for ctx.Err() == nil {
+		known.left = d.deadline.Sub(f.clock.Now())
 		switch known.next() {
 		case askOwner:
 			known.answer = f.askOwner(ctx, d)
+		case reserveNext:
+			known.search = noSlot
+			if next := f.reserveNext(ctx, d.succession); next != nil {
+				d.successor.Store(next)
+				known.search = slotReserved
+			}
 		case abandon:
 			return true
 		default:
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -54,8 +54,8 @@
 	retryCost float64
 	// lastAttempt is set while no further attempt would be allowed if the present one ran.
 	lastAttempt bool
-	// lastForNow is set as well while only backend servers are left whose nodes stop at present.
-	lastForNow bool
+	// succession is what may follow the present attempt; nil if nothing may.
+	succession *succession
 	// uncounted is set as long as no node can have counted the request for its retry budget.
 	uncounted bool
 	// retryAfter is the least time after which an owner that refused it expects room; 0 if none is known.
--- /dev/null
+++ b/forwarder/succession.go
@@ -0,0 +1,132 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/retrier"
+)
+
+// succession is what is needed to find the attempt that follows the present one. It is a copy of
+// the submission's state at the start of the attempt, which is read while the attempt goes on.
+type succession struct {
+	submission submission
+	state      attemptState
+	// number is that of the next attempt, and counted how many so far count as attempts.
+	number, counted int
+	started         time.Time
+}
+
+// successor is the backend server of the next attempt, at which a slot is reserved for it.
+type successor struct {
+	backend fleet.Backend
+	// retryCost is the cost of the retry that its owner has still to charge.
+	retryCost float64
+}
+
+// succession returns what may follow an attempt at a backend server with this number, or nil if
+// nothing may. There is one trial run at a time.
+func (f *Forwarder) succession(s *submission, state *attemptState, backend fleet.Backend, number int) *succession {
+	if s.lastAttempt || !s.idempotent || s.trialNode != "" {
+		return nil
+	}
+	n := &succession{submission: *s, state: *state, number: number + 1, counted: number - state.declined(), started: f.clock.Now()}
+	n.submission.retryCost, n.submission.succession = 0, nil
+	n.state.tried = append(slices.Clone(state.tried), backend.ID)
+	n.state.failing, n.state.leaving = slices.Clone(state.failing), slices.Clone(state.leaving)
+	return n
+}
+
+// failed returns the present attempt as one that failed for the silence of its owner.
+func (n *succession) failed(now time.Time) retrier.Attempt {
+	s := n.submission
+	return retrier.Attempt{
+		Service:    s.service,
+		Number:     n.counted,
+		Runs:       n.state.ran + 1,
+		MaxRuns:    s.maxRuns,
+		Reached:    true,
+		Took:       now.Sub(n.started),
+		Outcome:    fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: fleet.ReasonStalled},
+		Idempotent: s.idempotent,
+		Remaining:  s.deadline.Sub(now),
+	}
+}
+
+// reserveNext has another owner reserve a slot for the next attempt, and charges the retry. It
+// returns nil if none has, or no budget covers the retry.
+func (f *Forwarder) reserveNext(ctx context.Context, n *succession) *successor {
+	failed := n.failed(f.clock.Now())
+	cost, allowed := f.retrier.Quote(failed)
+	if !allowed {
+		return nil
+	}
+	s, state := n.submission, n.state
+	s.retryCost = cost
+	state.candidates = f.directory.Backends(s.service)
+	state.tried = slices.Clone(state.tried)
+	for range maxBudgetRefusals {
+		backend, found := f.selectOther(&s, &state)
+		if !found {
+			return nil
+		}
+		state.tried = append(state.tried, backend.ID)
+		charged, reserved := f.offerNext(ctx, &s, backend, n.number)
+		switch {
+		case !reserved:
+		case cost == 0 && !f.chargeNext(failed):
+			return nil
+		case charged:
+			return &successor{backend: backend}
+		default:
+			return &successor{backend: backend, retryCost: cost}
+		}
+	}
+	return nil
+}
+
+// chargeNext charges a retry to this node's budget. What was left when it was offered may be used
+// up by now; the slot is then free again after a while.
+func (f *Forwarder) chargeNext(failed retrier.Attempt) bool {
+	decision := f.retrier.Decide(failed)
+	return decision.Retry && decision.RetryCost == 0
+}
+
+// selectOther picks a backend server that is likely to have a free slot.
+func (f *Forwarder) selectOther(s *submission, state *attemptState) (fleet.Backend, bool) {
+	unreachable, failing := f.unavailable(s, state)
+	return f.picker.Pick(s.service, state.candidates, slices.Concat(state.tried, state.leaving, state.failing, failing, unreachable), s.idempotent)
+}
+
+// offerNext offers the next attempt to an owner, and reports whether it has a slot for it. An owner
+// that reserved it has charged the retry; one of a build without offers gets the attempt as it is.
+func (f *Forwarder) offerNext(ctx context.Context, s *submission, backend fleet.Backend, number int) (charged, reserved bool) {
+	owner, found := f.directory.Member(backend.Owner)
+	if !found {
+		return false, false
+	}
+	limited, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	charged, refusal := f.sendOffer(limited, s, backend, owner, number, noWait)
+	if refusal == nil {
+		return charged, true
+	}
+	if limited.Err() != nil && ctx.Err() == nil {
+		f.backOff(owner, refusal.message)
+	}
+	f.recordRefusal(s, backend, refusal)
+	return false, false
+}
+
+// follow prepares the attempt whose slot is reserved.
+func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
+	s.retryCost = last.successor.retryCost
+	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
+		fleet.Figure{Name: "attempt", Value: float64(number)},
+		fleet.Figure{Name: "owed", Value: s.retryCost},
+		fleet.Milliseconds("delay", 0),
+	).WithService(s.service))
+	return ctx.Err() == nil
+}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -36,9 +36,8 @@
 		if !found {
 			return state.bestResult(state.failureToReport(f.noBackendResult(s, last)))
 		}
-		allowed := f.allowsAnother(s, state, number-state.declined())
-		s.lastAttempt = !allowed || !state.hasUntried(2)
-		s.lastForNow = !allowed || !state.hasUntried(2, state.leaving...)
+		s.lastAttempt = !f.allowsAnother(s, state, number-state.declined())
+		s.succession = f.succession(s, state, backend, number)
 		last = f.attempt(ctx, s, backend, number, mode)
 		s.trace = append(s.trace, last.describe(backend, mode))
 		if last.answered() && !f.replaceable(s, last) {
@@ -46,12 +45,7 @@
 		}
 		s.recordAttempt(last)
 		state.recordAttempt(backend, last)
-		switch {
-		case last.outcome.Reason == fleet.ReasonFailing:
-			f.breaker.RecordFailing(backend.ID)
-		case last.leaving():
-			f.breaker.RecordLeaving(backend.ID, s.idempotent)
-		}
+		f.recordRefusal(s, backend, last)
 		if state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals || !f.prepareRetry(ctx, s, number-state.declined(), state.ran, last) {
 			return state.bestResult(state.failureToReport(last))
 		}
@@ -62,10 +56,20 @@
 	}
 }
 
+// recordRefusal records that a backend server is failing or leaves, by its owner's word.
+func (f *Forwarder) recordRefusal(s *submission, backend fleet.Backend, r *result) {
+	switch {
+	case r.outcome.Reason == fleet.ReasonFailing:
+		f.breaker.RecordFailing(backend.ID)
+	case r.leaving():
+		f.breaker.RecordLeaving(backend.ID, s.idempotent)
+	}
+}
+
 // allowsAnother reports whether another attempt would be allowed if the next one, with this
 // number, ran and its answer were lost.
 func (f *Forwarder) allowsAnother(s *submission, state *attemptState, number int) bool {
-	return f.retrier.Allows(retrier.Attempt{
+	return state.hasUntried(2) && f.retrier.Allows(retrier.Attempt{
 		Service:    s.service,
 		Number:     number,
 		Runs:       state.ran + 1,
@@ -85,11 +89,13 @@
 
 // selectBackend picks the next backend server and the mode of the attempt. It prefers one
 // that was not tried and whose owner is reachable; then one that was full, to wait for a
-// slot; then a failing one; then one whose owner is unreachable.
+// slot; then a failing one; then one whose owner is unreachable. One at which a slot is reserved
+// goes before all.
 func (f *Forwarder) selectBackend(s *submission, state *attemptState) (fleet.Backend, attemptMode, bool) {
-	unreachable, failing := f.breaker.Unavailable(state.candidates)
-	failing = append(failing, f.breaker.Leaving(state.candidates, s.idempotent)...)
-	unreachable = append(unreachable, f.behindSuspectOwners(state.candidates)...)
+	if state.successor != nil {
+		return state.successor.backend, queued, true
+	}
+	unreachable, failing := f.unavailable(s, state)
 	tried := slices.Concat(state.tried, state.leaving)
 	stages := []struct {
 		excluded []fleet.BackendID
@@ -114,6 +120,14 @@
 	return fleet.Backend{}, forced, false
 }
 
+// unavailable returns the backend servers behind unreachable owners and those that are failing or
+// leave.
+func (f *Forwarder) unavailable(s *submission, state *attemptState) (unreachable, failing []fleet.BackendID) {
+	unreachable, failing = f.breaker.Unavailable(state.candidates)
+	failing = append(failing, f.breaker.Leaving(state.candidates, s.idempotent)...)
+	return append(unreachable, f.behindSuspectOwners(state.candidates)...), failing
+}
+
 // replaceable reports whether an answer is an error that another backend server's answer
 // may replace.
 func (f *Forwarder) replaceable(s *submission, r *result) bool {
@@ -150,6 +164,8 @@
 // one is not counted as a retry.
 func (f *Forwarder) prepareRetry(ctx context.Context, s *submission, number, ran int, last *result) bool {
 	switch {
+	case last.successor != nil:
+		return f.follow(ctx, s, number, last)
 	case last.declined():
 		return ctx.Err() == nil
 	case last.reached || last.outcome.Executed != fleet.ExecutedNo:
--- a/retrier/allows_test.go
+++ b/retrier/allows_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestAllowsAgreesWithDecide guards against attempts that are called the last although a retry
-// follows, or not although none does, and against a question that uses up the budget.
+// follows, or not although none does, against a question that uses up the budget, and against a
+// retry that is quoted to another payer than the one that is charged.
 func TestAllowsAgreesWithDecide(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		options := []retrier.Option{
@@ -34,11 +35,16 @@
 			}
 			before := r.Remaining("ledger")
 			allowed := r.Allows(a)
+			ownerCost, quoted := r.Quote(a)
 			if r.Remaining("ledger") != before {
 				t.Fatal("the question charged the budget")
 			}
-			if decided := r.Decide(a).Retry; decided != allowed {
-				t.Fatalf("%+v: allowed %t, decided %t", a, allowed, decided)
+			decision := r.Decide(a)
+			if decision.Retry != allowed || quoted != allowed {
+				t.Fatalf("%+v: allowed %t, quoted %t, decided %t", a, allowed, quoted, decision.Retry)
+			}
+			if allowed && decision.RetryCost != ownerCost {
+				t.Fatalf("%+v: quoted %.1f for the owner, decided %.1f", a, ownerCost, decision.RetryCost)
 			}
 		}
 	})
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -124,10 +124,21 @@
 // Allows reports whether Decide would retry the submission at present. It charges nothing. Where
 // other nodes may be charged, their budgets are not known here, and it reports that they allow it.
 func (r *Retrier) Allows(a Attempt) bool {
+	_, allowed := r.Quote(a)
+	return allowed
+}
+
+// Quote is Allows, with the cost to charge to the retry budget of the next backend server's owner; 0
+// while this node's budget covers the retry.
+func (r *Retrier) Quote(a Attempt) (ownerCost float64, allowed bool) {
 	if a.Number >= r.attempts || a.Remaining <= 0 || !a.repeatable() {
-		return false
+		return 0, false
+	}
+	cost := r.retryCost(a)
+	if r.Remaining(a.Service) >= cost {
+		return 0, true
 	}
-	return r.ownerCharge || r.Remaining(a.Service) >= r.retryCost(a)
+	return cost, r.ownerCharge
 }
 
 // ChargeRetry charges a retry of another node to this node's budget and reports whether it allows it.
