Count no planned end as an owner that a request killed

A review showed with tests that a request got 502 "lost" after two of its owners had ended as planned while it ran there, though a third was free, and that one at an owner whose address a later process has was waited for until its deadline.

A node that has announced its departure is not counted as lost, and an owner that the fleet holds for ended is left also when a later process answers for it. A refusal of a backend server itself with the reason "stopped" is no hand-back.

Evidence: TestTwoPlannedStopsAreNotTwoLostOwners failed before with 502, TestRequestAtAReplacedOwnerIsNotWaitedFor after 6.0 s (bound 3 s); both pass.

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -55,7 +55,7 @@
 	} else if last.outcome.Reason == fleet.ReasonDeadline {
 		a.deadlineRefusals++
 	}
-	if last.outcome.Reason == fleet.ReasonStopped {
+	if last.outcome.Reason == fleet.ReasonStopped && !last.reached {
 		// It ran for a while: refusals from before say nothing of the owners that are left, and those
 		// that stopped then may have started again.
 		a.deadlineRefusals, a.leaving = 0, nil
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -95,7 +95,8 @@
 		r.outcome.Executed = fleet.ExecutedNo
 	}
 	r.notAttributed = err == nil && r.outcome.Reason == fleet.ReasonStalled
-	r.lostOwner = err != nil && !sealed && ctx.Err() == nil
+	// The planned end of a node says nothing of the requests that ran there.
+	r.lostOwner = err != nil && !sealed && ctx.Err() == nil && !f.hasLeft(d.owner)
 	return r
 }
 
--- a/forwarder/silent.go
+++ b/forwarder/silent.go
@@ -48,10 +48,10 @@
 	switch {
 	case sealed:
 		return ownerSealed
+	case errors.Is(err, syscall.ECONNREFUSED) || f.isGone(d.owner):
+		return ownerEnded // also if a later process at its address has answered
 	case err == nil:
 		return ownerRefused
-	case errors.Is(err, syscall.ECONNREFUSED) || f.isGone(d.owner):
-		return ownerEnded
 	default:
 		return ownerUnreachable
 	}
@@ -64,6 +64,12 @@
 	return !found || member.State == fleet.MemberDead || member.PeerAddress != owner.PeerAddress
 }
 
+// hasLeft reports whether a node has announced its departure.
+func (f *Forwarder) hasLeft(owner fleet.Member) bool {
+	member, found := f.directory.Member(owner.ID)
+	return found && member.State == fleet.MemberLeft
+}
+
 // renew leaves the pooled connections to the owner of an attempt, once for each attempt.
 func (f *Forwarder) renew(d *delivery) {
 	d.renewal.Do(func() {
