Check that a silent attempt is not given up to wait at a full owner

TestReadAtASilentOwnerGoesToAnotherOnceItHasASlot passed with a planted fault that abandons the attempt although no owner has reserved a slot: the request then waited at the full owner. The test now also asserts that nothing waits there while its slots are taken, and fails with that fault ("1 != 0").

--- a/forwarder/succession_test.go
+++ b/forwarder/succession_test.go
@@ -91,7 +91,7 @@
 	budget := retrier.New(retrier.WithBudget(0, 5))
 	r := newRig(t, forwarder.WithRetrier(budget))
 	filled, release := make(chan struct{}, slots), make(chan struct{})
-	r.addOwner("b", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	b := r.addOwner("b", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == "/fill" {
 			filled <- struct{}{}
 			<-release
@@ -111,10 +111,16 @@
 	r.mu.Lock()
 	slices.Reverse(r.backends) // the picker takes the first
 	r.mu.Unlock()
-	time.AfterFunc(full, func() { close(release) })
+	queued := make(chan int, 1)
+	time.AfterFunc(full, func() {
+		_, waiting := b.dispatcher.Load(b.backend.ID)
+		queued <- waiting
+		close(release)
+	})
 	status, took := sendAtSilentOwner(t, r, a, running, 8*time.Second)
 	fills.Wait()
 	is.Equal(status, http.StatusOK)
+	is.Equal(<-queued, 0) // it was not given up to wait there
 	is.True(took > full-200*time.Millisecond)
 	is.True(took < 4*time.Second)
 	is.Equal(other.count("read"), 1)
