Abort no answer that is being passed on to its caller

An ingress that stops cut answers that it was streaming to callers, 0.3 s before its end: the abort of what is in flight ended their source as well, although no other answer can be given any more.

Such answers now go on until the node ends.

Evidence: TestStreamedAnswerIsNotCutBeforeTheEnd/ingress_aborts failed before with "unexpected EOF". The test has the case of the hand-back as well, which was TestStreamedAnswerIsNotHandedBack.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -168,7 +168,8 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer context.AfterFunc(f.abortContext, func() { end(context.DeadlineExceeded) })()
+	s.keep = context.AfterFunc(f.abortContext, func() { end(context.DeadlineExceeded) })
+	defer s.keep()
 	if refusal := f.accept(ctx, w, s); refusal != nil {
 		f.refuse(w, s, refusal)
 		return
@@ -189,6 +190,7 @@
 		f.holdUnending(ctx, s, r)
 	}
 	if r.answered() {
+		s.keep() // there is no other answer to give in the place of one that is being written
 		f.recorder.Record(f.event(fleet.EventRequest, s, strconv.Itoa(r.exchange.Response.StatusCode)))
 		f.writeAnswer(w, s, r)
 		return
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -194,9 +194,15 @@
 	is.Equal(other.count("kept"), 1)
 }
 
-// TestStreamedAnswerIsNotHandedBack guards against a stopping owner that cuts an answer of which its
-// caller has a part already, so that no other attempt can follow.
-func TestStreamedAnswerIsNotHandedBack(t *testing.T) {
+// TestStreamedAnswerIsNotCutBeforeTheEnd guards against stopping nodes that cut an answer of which its
+// caller has a part already, so that neither another attempt nor another answer can follow.
+func TestStreamedAnswerIsNotCutBeforeTheEnd(t *testing.T) {
+	t.Run("owner hands back", func(t *testing.T) { checkStreamed(t, func(_ *rig, o *owner) { o.handBack() }) })
+	t.Run("ingress aborts", func(t *testing.T) { checkStreamed(t, func(r *rig, _ *owner) { r.forwarder.Abort() }) })
+}
+
+// checkStreamed stops a node while an answer is passed on.
+func checkStreamed(t *testing.T, stop func(*rig, *owner)) {
 	is := is.New(t)
 	const part = 5000
 	r := newRig(t, forwarder.WithMaxAnswerSize(1000))
@@ -214,7 +220,7 @@
 	go func() {
 		<-running
 		time.Sleep(100 * time.Millisecond)
-		stopped.handBack()
+		stop(r, stopped)
 	}()
 	response, err := http.Get(r.caller.URL + "/")
 	is.NoErr(err)
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -60,6 +60,8 @@
 	uncounted bool
 	// retryAfter is the least time after which an owner that refused it expects room; 0 if none is known.
 	retryAfter time.Duration
+	// keep keeps the submission from being aborted before the node ends.
+	keep func() bool
 	// lostOwners counts the owners that could not be queried any more about an attempt.
 	lostOwners int
 	// trialNode is the node that permitted the trial run of this suspect request; it is empty
