Name what a silent owner is asked and answers more plainly

From the review: ask.go has what an owner is asked, hasEnded tells nodes from backend servers, and an owner that did not seal an attempt has not refused anything. No behaviour changes.

--- a/forwarder/silent.go
+++ b/forwarder/ask.go
@@ -48,18 +48,18 @@
 	switch {
 	case sealed:
 		return ownerSealed
-	case errors.Is(err, syscall.ECONNREFUSED) || f.isGone(d.owner):
+	case errors.Is(err, syscall.ECONNREFUSED) || f.hasEnded(d.owner):
 		return ownerEnded // also if a later process at its address has answered
 	case err == nil:
-		return ownerRefused
+		return ownerDidNotSeal
 	default:
 		return ownerUnreachable
 	}
 }
 
-// isGone reports whether the fleet holds a node's process for ended. One that has announced its
+// hasEnded reports whether the fleet holds a node's process for ended. One that has announced its
 // departure may still run requests.
-func (f *Forwarder) isGone(owner fleet.Member) bool {
+func (f *Forwarder) hasEnded(owner fleet.Member) bool {
 	member, found := f.directory.Member(owner.ID)
 	return !found || member.State == fleet.MemberDead || member.PeerAddress != owner.PeerAddress
 }
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -100,8 +100,8 @@
 	return r
 }
 
-// sealUnlessAnswered seals an attempt, unless the owner was asked while it was silent and its
-// answer holds: a seal does for good, a refusal if the attempt was given up for it.
+// sealUnlessAnswered seals an attempt. What a silent owner has answered is used again if it sealed the
+// attempt, or if the attempt was given up for that answer.
 func (f *Forwarder) sealUnlessAnswered(ctx context.Context, d *delivery, ended bool, reason fleet.Reason) (bool, error) {
 	if answer := d.answer.Load(); answer != nil && (answer.sealed || reason == fleet.ReasonStalled) {
 		return answer.sealed, answer.err
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -32,8 +32,8 @@
 	notAsked ownerAnswer = iota
 	// ownerSealed proves that the attempt did not run.
 	ownerSealed
-	// ownerRefused means that the attempt may run at present.
-	ownerRefused
+	// ownerDidNotSeal means that it has dispatched the attempt, or cannot tell.
+	ownerDidNotSeal
 	// ownerUnreachable means that nothing is known: its answer may come once the path is back.
 	ownerUnreachable
 	// ownerEnded means that its process has ended, so that no answer comes any more.
--- a/pooler/strays.go
+++ b/pooler/strays.go
@@ -17,7 +17,7 @@
 	echo string
 	// discarder is nil if the first exchange did not ask for it.
 	discarder *discarder.Discarder
-	// turn counts the exchanges, and strayed is that in which an answer was discarded.
+	// turn counts the exchanges, and strayed is that in which an answer was discarded; 0 if none was.
 	turn, strayed int
 	// discarded counts the answers that were discarded.
 	discarded metrics.Counter
--- a/pooler/upload.go
+++ b/pooler/upload.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// stop ends a write in progress, for which the peer's end of the connection leaves no use, and
-// reports whether the request was written whole.
+// stop fails a write in progress, as the peer has ended the connection, and reports whether the
+// request was written whole.
 func (u *upload) stop(c net.Conn) (whole bool) {
 	if !u.pending.Load() {
 		return true
