--- a/stepper/uses_test.go
+++ b/stepper/uses_test.go
@@ -26,6 +26,7 @@
 	"platform/finder/finder.go":         2,
 	"platform/receiver/announcement.go": 1,
 	"platform/receiver/receiver.go":     1,
+	"pooler/upload.go":                  1,
 	"replicator/pausedetector.go":       2,
 	"translator/event.go":               2,
 }
