Give two bounds of silence and stops their reasons again

Found by reading the change as a newcomer: the ingress's least time for another attempt had lost its reason, the order in which a stopping node closes its ports had none, and late answers had a second name that was not introduced.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// close waits for connections in use and closes both servers, that of the peers once they have been told.
+// close waits for connections in use and closes both servers, that of the peers once they
+// have been told that the node leaves: an attempt that meets the close would have an unknown outcome.
 func (s *servers) close(ctx context.Context, waitUntilTold func()) error {
 	defer s.unused.closeSoon()()
 	err := s.callers.Shutdown(ctx)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -6,7 +6,8 @@
 	// askAfter is the number of progress timeouts without a sign of life, 0.7 s, after which an owner
 	// is asked about an attempt.
 	askAfter = 2
-	// minRetryTime is the least time left in which another attempt is taken to be in time.
+	// minRetryTime is the least time left in which another attempt is taken to be in time: a round
+	// trip between zones and a short request, as for owners.
 	minRetryTime = 100 * time.Millisecond
 )
 
--- a/pooler/strays.go
+++ b/pooler/strays.go
@@ -9,8 +9,8 @@
 	"cowsliptally.example/cowsliptally/heads/discarder"
 )
 
-// strays removes late answers to earlier requests from what a connection reads. Its zero value
-// removes none.
+// strays removes late answers to earlier requests, called strays, from what a connection reads. Its
+// zero value removes none.
 type strays struct {
 	mu sync.Mutex
 	// echo is the header with the identifier of the request.
