Show with tests how requests end with the node of their owner

A request that may run twice is handed back while three other owners have no free slot for another second. It ends after 0.02 s, with 6 s left:

--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -63,11 +63,7 @@
 
 // join serves a node's peer address.
 func (r *rig) join(name fleet.NodeID, d *dispatcher.Dispatcher) *httptest.Server {
-	router := chi.NewRouter()
-	router.Handle(dispatcher.PathPrefix+"/*", d)
-	router.HandleFunc(dispatcher.OfferPath, d.ServeOffer)
-	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(d))
-	peer := httptest.NewServer(router)
+	peer := httptest.NewServer(peerHandler(d))
 	r.t.Cleanup(peer.Close)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -77,6 +73,15 @@
 	return peer
 }
 
+// peerHandler returns what a node serves at its peer address.
+func peerHandler(d *dispatcher.Dispatcher) http.Handler {
+	router := chi.NewRouter()
+	router.Handle(dispatcher.PathPrefix+"/*", d)
+	router.HandleFunc(dispatcher.OfferPath, d.ServeOffer)
+	router.Mount(cowsliptallyv1connect.NewRequestServiceHandler(d))
+	return router
+}
+
 // addOwner starts an owner with one backend server that runs the handler.
 func (r *rig) addOwner(name string, backend http.Handler, options ...dispatcher.Option) *owner {
 	server := httptest.NewServer(backend)
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -229,3 +229,42 @@
 	is.NoErr(err)
 	is.Equal(n, int64(2*part))
 }
+
+// busyUntil is an owner that has no free slot until a time.
+func busyUntil(at time.Time, then http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if !time.Now().Before(at) {
+			then.ServeHTTP(w, q)
+			return
+		}
+		w.Header().Set(fleet.HeaderRequestID, q.Header.Get(fleet.HeaderRequestID))
+		w.Header().Set(fleet.HeaderExecuted, string(fleet.ExecutedNo))
+		w.Header().Set(fleet.HeaderReason, string(fleet.ReasonBusy))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// TestHandedBackRequestIsNotGivenUpWhileOthersAreBusy guards against a request that ends with much time left because
+// all others were busy in the moment in which its owner handed it back.
+func TestHandedBackRequestIsNotGivenUpWhileOthersAreBusy(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, forwarder.WithRetrier(noBudget()))
+	handler, running, hold := holding()
+	defer close(hold)
+	stopped := r.addOwner("a", handler)
+	other := newLedger()
+	free := time.Now().Add(time.Second)
+	for _, name := range []string{"b", "c", "d"} {
+		busy := r.addOwner(name, other)
+		r.servePeer(busy, busyUntil(free, peerHandler(busy.dispatcher)))
+	}
+	status := make(chan int)
+	go func() {
+		response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "handed-back", fleet.HeaderTimeout, "6000")
+		status <- response.StatusCode
+	}()
+	<-running
+	stopped.handBack()
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(other.count("handed-back"), 1)
+}
