Record what a stopping node gives up, and on what

An ingress now writes a line 'abandoned' for each attempt that may have run and that it waits for no more, with the reason, the backend server and its owner, the time taken and left, and for how long its node has been stopping.

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -68,6 +68,7 @@
 	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "work", d.work.Summary(), "within", remaining)
 	defer d.abortAfter(AbortAfter(remaining), d.clock.Now().Add(remaining))()
 	end := d.clock.Now().Add(AbortAfter(remaining))
+	d.forwarder.Stop(d.stoppingSince(), end)
 	d.dispatcher.Stop(end)
 	waited := d.waitFor("callers that go elsewhere")
 	d.linger(ctx, grace)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -33,6 +33,14 @@
 	return max(0, duration-d.clock.Since(at))
 }
 
+// stoppingSince returns when the signal arrived, or the present time if that is not known.
+func (d *Daemon) stoppingSince() time.Time {
+	if at, signalled := d.stop.SignalledAt(); signalled {
+		return at
+	}
+	return d.clock.Now()
+}
+
 // waitFor records what the shutdown waits for until done is called, which logs how long.
 func (d *Daemon) waitFor(what string) (done func()) {
 	d.stop.WaitingFor(what)
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -47,6 +47,8 @@
 	EventRequest EventKind = "request"
 	// EventAttempt is an attempt that its owner could not answer normally.
 	EventAttempt EventKind = "attempt"
+	// EventAbandoned is an attempt that may have run and that its ingress waits for no more.
+	EventAbandoned EventKind = "abandoned"
 	// EventFailing is a backend server that its owner begins or ceases to suspect of failing.
 	EventFailing EventKind = "doubt"
 	// EventLimit is a backend server that names a limit for its requests, changes it, or names
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -33,6 +33,7 @@
 	}
 	r.noWaitRefused = mode == noWait && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
 	r.took = f.clock.Since(start)
+	f.recordAbandoned(s, backend, number, r)
 	f.observe(s, backend, r)
 	return r
 }
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -2,10 +2,21 @@
 
 import (
 	"context"
+	"time"
 
 	"cowsliptally.example/cowsliptally/drainer"
 )
 
+// stopTimes are the times of the stop of a node.
+type stopTimes struct {
+	since, abort time.Time
+}
+
+// Stop tells since when the node stops, and when it aborts the requests in flight.
+func (f *Forwarder) Stop(since, abort time.Time) {
+	f.stopping.Store(&stopTimes{since: since, abort: abort})
+}
+
 // Drain refuses new requests; those in flight continue.
 func (f *Forwarder) Drain() { f.work.Close(drainer.Requests) }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,8 +60,10 @@
 	timeout       time.Duration
 	writeTimeout  time.Duration
 	// abortContext is cancelled when the requests in flight are to be aborted.
-	abortContext      context.Context
-	abort             context.CancelFunc
+	abortContext context.Context
+	abort        context.CancelFunc
+	// stopping is when the node was told to stop and when it aborts requests; nil while it does not stop.
+	stopping          atomic.Pointer[stopTimes]
 	maxNoWaitAttempts int
 	repeatErrors      bool
 	breaker           *breaker.Breaker
