Name the headers for the end of an owner's node

An owner whose node stops is to tell its ingresses when that ends, so that they find the next attempt before it does. Cowsliptally-Ends carries the milliseconds left in informational responses, and Cowsliptally-Follows marks attempts whose ingress does so. Neither is taken from callers.

--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -25,7 +25,7 @@
 	fleet.HeaderCrashed, fleet.HeaderReachedBackend, fleet.HeaderNoWait,
 	fleet.HeaderForced, fleet.HeaderTarget, fleet.HeaderRetryCost, fleet.HeaderLimit,
 	fleet.HeaderPause, fleet.HeaderLeaving, fleet.HeaderLastAttempt, fleet.HeaderKey,
-	fleet.HeaderEarned, fleet.HeaderRetryAfter,
+	fleet.HeaderEarned, fleet.HeaderRetryAfter, fleet.HeaderEnds, fleet.HeaderFollows,
 }
 
 // RemoveConnectionHeaders removes the headers that concern one connection.
