Let a caller of the pooler replace an exchange that makes progress

An exchange could be cancelled for lack of progress only. OnProgress is asked at the end of each progress timeout in which bytes were transferred, and may cancel the exchange in favour of another one. It is what an ingress needs to move a request from an owner that stops and still gives signs of life.

--- a/pooler/error.go
+++ b/pooler/error.go
@@ -12,6 +12,8 @@
 	KindFull Kind = "full"
 	// KindSilent means that the connection made no progress in time.
 	KindSilent Kind = "silent"
+	// KindSuperseded means that OnProgress cancelled the exchange.
+	KindSuperseded Kind = "superseded"
 	// KindBroken means that the connection failed before the head of the response was complete,
 	// or that the response is invalid.
 	KindBroken Kind = "broken"
--- a/pooler/message.go
+++ b/pooler/message.go
@@ -23,6 +23,9 @@
 	// OnStall is called when no byte was transferred during a whole progress timeout, and
 	// reports whether to cancel the exchange. Nil cancels it.
 	OnStall func(Stall) bool
+	// OnProgress is called at the end of each progress timeout in which bytes were transferred, and
+	// reports whether to cancel the exchange. Nil does not. An answer that arrives meanwhile wins.
+	OnProgress func() bool
 	// OnInformational is called with the headers of each informational response, in order and
 	// before Send returns Exchange.Ended; nil ignores them.
 	OnInformational func(textproto.MIMEHeader)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -37,6 +37,9 @@
 // errInterim is the error of an answer with too many of status 1xx before it.
 var errInterim = errors.New("too many interim answers")
 
+// errSuperseded is the cause of a cancellation in favour of another exchange.
+var errSuperseded = errors.New("another exchange takes its place")
+
 // errSilent is the cause of a cancellation for lack of progress.
 var errSilent = errors.New("the connection made no progress")
 
@@ -150,7 +153,7 @@
 func (p *Pooler) send(ctx context.Context, m Message, fresh bool) (*Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	exchange := &Exchange{id: m.ID, cancel: cancel}
-	w := &watcher{clock: p.clock, progress: p.progress, onStall: m.OnStall, cancel: cancel}
+	w := &watcher{clock: p.clock, progress: p.progress, onStall: m.OnStall, onProgress: m.OnProgress, cancel: cancel}
 	defer w.stop()
 	var used *conn
 	var before uint64
@@ -270,6 +273,8 @@
 	switch {
 	case errors.Is(cause, errSilent):
 		return fault.New("send", KindSilent, "to %s: %w", address, errSilent)
+	case errors.Is(cause, errSuperseded):
+		return fault.New("send", KindSuperseded, "to %s: %w", address, errSuperseded)
 	case used == nil && errors.Is(err, errFull):
 		return fault.New("send", KindFull, "connect to %s: %w", address, err)
 	case used == nil:
--- a/pooler/watcher.go
+++ b/pooler/watcher.go
@@ -13,9 +13,10 @@
 type watcher struct {
 	clock    clockwork.Clock
 	progress time.Duration
-	// onStall is Message.OnStall.
-	onStall func(Stall) bool
-	cancel  context.CancelCauseFunc
+	// onStall and onProgress are Message.OnStall and Message.OnProgress.
+	onStall    func(Stall) bool
+	onProgress func() bool
+	cancel     context.CancelCauseFunc
 
 	mu        sync.Mutex
 	used      *conn
@@ -50,25 +51,34 @@
 // check cancels an exchange that makes no progress, unless it has ended or a byte was transferred
 // while onStall considered it.
 func (w *watcher) check() {
-	stall := w.stall()
-	abandoned := stall.Timeouts > 0 && (w.onStall == nil || w.onStall(stall))
+	stall, watching := w.stall()
+	cause, abandoned := errSilent, false
+	switch {
+	case !watching:
+		return
+	case stall.Timeouts > 0:
+		abandoned = w.onStall == nil || w.onStall(stall)
+	case w.onProgress != nil:
+		cause, abandoned = errSuperseded, w.onProgress()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.stopped:
 	case abandoned && w.used.transfers() == w.transfers:
-		w.cancel(errSilent)
+		w.cancel(cause)
 	default:
 		w.timer.Reset(w.progress)
 	}
 }
 
-// stall returns the number of checks in a row without progress, and the connection's history.
-func (w *watcher) stall() Stall {
+// stall returns the number of checks in a row without progress and the connection's history, or false
+// once the exchange has ended.
+func (w *watcher) stall() (s Stall, watching bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
-		return Stall{}
+		return Stall{}, false
 	}
 	transfers := w.used.transfers()
 	w.stalls++
@@ -76,5 +86,5 @@
 		w.stalls = 0
 	}
 	w.transfers = transfers
-	return Stall{Timeouts: w.stalls, Reused: w.reused, Opened: w.used.opened}
+	return Stall{Timeouts: w.stalls, Reused: w.reused, Opened: w.used.opened}, true
 }
