Decide in one place what becomes of an attempt at work

What callers saw: a request that may run twice was handed back by a stopping owner while all others were full or stopped as well, and its ingress ended it with 502 or 504 within 0.2 s, with time left. An answer was lost with its owner's process although it had been written before: the path had been silent, and a refused port was taken for proof that nothing comes.

A silent attempt was given up only for a reserved slot, a handed-back one at once; a refused port ended both.

An ingress hears from Cowsliptally-Ends when an owner's node ends, reserves a slot elsewhere from 1.4 s before that, and moves the request only then. A refused port is waited out for as long as the path was silent, since TCP sends again at intervals that double. Move and search are charged to the retry budget like a hand-back, also beyond what is left.

Ruled out: moving as soon as the owner tells that it stops. It throws away work that would end in time.

--- /dev/null
+++ b/arbiter/arbiter.go
@@ -0,0 +1,174 @@
+// Package arbiter decides what an ingress does with an attempt at which a backend server may be at
+// work. It does no I/O: all that is known about the attempt goes in, the next step comes out.
+package arbiter
+
+import "time"
+
+const (
+	// askAfter is the number of progress timeouts without a sign of life, 0.7 s, after which an owner
+	// is asked about an attempt.
+	askAfter = 2
+	// minRetryTime is the least time left in which another attempt is taken to be in time: a round
+	// trip between zones and a short request, as for owners.
+	minRetryTime = 100 * time.Millisecond
+	// searchTime is the time before the end of the owner's node from which a slot for the next attempt
+	// is looked for. In it, owners that are full or stop are asked four times.
+	searchTime = 1400 * time.Millisecond
+	// minAnswerTime is the least time for which the answer of an ended process is waited for.
+	minAnswerTime = time.Second
+)
+
+// Attempt is what is known about an attempt. The zero value is one that was just sent.
+type Attempt struct {
+	deadline   time.Time
+	repeatable bool
+	lastLoss   bool
+	nodeEnd    time.Time
+	timeouts   int
+	progressAt time.Time
+	answer     Answer
+	refusedAt  time.Time
+	search     SlotSearch
+	ending     Ending
+}
+
+// New returns an attempt that was sent at a time and has a deadline.
+func New(sent, deadline time.Time) Attempt { return Attempt{deadline: deadline, progressAt: sent} }
+
+// WithDeadline returns a copy with another deadline.
+func (a Attempt) WithDeadline(deadline time.Time) Attempt {
+	a.deadline = deadline
+	return a
+}
+
+// WithRepeatable returns a copy that another attempt may follow although it may have run. If
+// lastLoss is set, none may follow once its owner counts as lost as well.
+func (a Attempt) WithRepeatable(lastLoss bool) Attempt {
+	a.repeatable, a.lastLoss = true, lastLoss
+	return a
+}
+
+// WithProgress returns a copy whose owner gave a sign of life at a time.
+func (a Attempt) WithProgress(at time.Time) Attempt {
+	a.progressAt, a.timeouts = at, 0
+	a.answer, a.refusedAt = NotAsked, time.Time{}
+	return a
+}
+
+// WithNodeEnd returns a copy whose owner has told when its node ends.
+func (a Attempt) WithNodeEnd(at time.Time) Attempt {
+	a.nodeEnd = at
+	return a
+}
+
+// WithSilence returns a copy with a number of progress timeouts in a row without a sign of life. The
+// owner is asked, and a slot looked for, afresh.
+func (a Attempt) WithSilence(timeouts int) Attempt {
+	a.timeouts, a.answer = timeouts, NotAsked
+	return a.WithNewSearch()
+}
+
+// WithNewSearch returns a copy for which a slot is looked for afresh.
+func (a Attempt) WithNewSearch() Attempt {
+	if a.search != SlotReserved {
+		a.search = NotSearched
+	}
+	return a
+}
+
+// WithAnswer returns a copy with what is known from asking its silent owner at a time.
+func (a Attempt) WithAnswer(answer Answer, at time.Time) Attempt {
+	a.answer = answer
+	if answer == Ended && a.refusedAt.IsZero() {
+		a.refusedAt = at
+	}
+	return a
+}
+
+// WithSearch returns a copy with the result of the search for a slot.
+func (a Attempt) WithSearch(search SlotSearch) Attempt {
+	a.search = search
+	return a
+}
+
+// WithEnding returns a copy that ended without an answer.
+func (a Attempt) WithEnding(ending Ending) Attempt {
+	a.ending = ending
+	return a
+}
+
+// Stopping reports whether the owner has told that its node stops.
+func (a Attempt) Stopping() bool { return !a.nodeEnd.IsZero() }
+
+// NodeEnd returns when the owner's node ends; zero if it has not told.
+func (a Attempt) NodeEnd() time.Time { return a.nodeEnd }
+
+// Next returns the next step. An attempt is given up only if nothing is lost by it: it did not run,
+// its answer cannot come, or a slot is reserved for the next one.
+func (a Attempt) Next(now time.Time) Step {
+	switch {
+	case a.ending != Running:
+		return a.afterEnd(now)
+	case a.timeouts >= askAfter:
+		return a.nextInSilence(now)
+	case a.timeouts == 0 && a.mustMove(now):
+		return a.nextInSearch()
+	default:
+		return Wait
+	}
+}
+
+// mustMove reports whether the owner's node is about to end before the attempt has to.
+func (a Attempt) mustMove(now time.Time) bool {
+	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime))
+}
+
+// mayFollow reports whether another attempt may follow this one, and can be in time.
+func (a Attempt) mayFollow(now time.Time) bool {
+	return a.repeatable && a.deadline.Sub(now) >= minRetryTime
+}
+
+func (a Attempt) nextInSilence(now time.Time) Step {
+	switch {
+	case a.answer == NotAsked:
+		return Ask
+	case a.answer == Sealed || a.answer == Gone:
+		return Drop
+	case a.answer == Ended && a.isUnanswered(now):
+		return Drop
+	case !a.mayFollow(now) || a.lastLoss && a.answer == Unreachable:
+		return Wait
+	default:
+		return a.nextInSearch()
+	}
+}
+
+// isUnanswered reports whether what the owner's process wrote before its end would have arrived. TCP
+// sends it again at intervals that double: while the path was silent, it was not tried for as long again
+// at most.
+func (a Attempt) isUnanswered(now time.Time) bool {
+	return now.Sub(a.refusedAt) >= max(minAnswerTime, a.refusedAt.Sub(a.progressAt))
+}
+
+func (a Attempt) nextInSearch() Step {
+	switch a.search {
+	case NotSearched:
+		return Reserve
+	case SlotReserved:
+		return Move
+	default:
+		return Wait
+	}
+}
+
+// afterEnd returns what follows an attempt that ended without an answer.
+func (a Attempt) afterEnd(now time.Time) Step {
+	switch {
+	case a.search == SlotReserved:
+		return Move
+	case a.ending == NodeEnded && a.mayFollow(now):
+		return Search
+	default:
+		return Drop
+	}
+}
--- /dev/null
+++ b/arbiter/orders_test.go
@@ -0,0 +1,238 @@
+package arbiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowsliptally.example/cowsliptally/arbiter"
+)
+
+const (
+	// progressTimeout is the time between two decisions about an attempt.
+	progressTimeout = 350 * time.Millisecond
+	// ownerLast and ingressLast are when a node that was told to stop ends work of other nodes, and
+	// answers its callers.
+	ownerLast, ingressLast = 5900 * time.Millisecond, 5100 * time.Millisecond
+	// lastSixth is the part of a grace period of 6 s in which an ingress may answer its callers itself.
+	lastSixth = 5 * time.Second
+	// never is later than everything else.
+	never    = time.Hour
+	deadline = 9 * time.Second
+)
+
+// order is when each event of a request comes, counted from its dispatch.
+type order struct {
+	ingressSignal, ownerSignal     time.Duration
+	answer, silence, restored, cut time.Duration
+	slotFree                       time.Duration
+	handsBack, repeatable          bool
+}
+
+// ownerEnd returns when the owner's process ends.
+func (o order) ownerEnd() time.Duration { return min(o.ownerSignal+ownerLast, o.cut) }
+
+// isSilent reports whether nothing passes between the ingress and the owner.
+func (o order) isSilent(at time.Duration) bool { return at >= o.silence && at < o.restored }
+
+// arrival returns when the ingress gets what the owner sends at a time.
+func (o order) arrival(sent time.Duration) time.Duration {
+	if o.isSilent(sent) {
+		return o.restored
+	}
+	return sent
+}
+
+// isAtWork reports whether the first backend server works on the request.
+func (o order) isAtWork(at time.Duration) bool {
+	handBack := never
+	if o.handsBack && o.repeatable {
+		handBack = o.ownerSignal + ingressLast
+	}
+	return at < min(o.answer, o.ownerEnd(), handBack)
+}
+
+// told is what the caller gets, and when.
+type told struct {
+	at   time.Duration
+	what string
+}
+
+const (
+	answered = "answered"
+	moved    = "moved to a reserved slot"
+	searched = "searched until a slot was free"
+	proved   = "proved not to have run"
+	ended    = "answered by the ingress"
+)
+
+// play returns what becomes of a request whose attempt the arbiter decides about.
+func (o order) play() told {
+	attempt := arbiter.New(start, start.Add(deadline))
+	if o.repeatable {
+		attempt = attempt.WithRepeatable(false)
+	}
+	last := min(deadline, o.ingressSignal+ingressLast)
+	attempt = attempt.WithDeadline(start.Add(last))
+	timeouts := 0
+	for now := progressTimeout; ; now += progressTimeout {
+		if event, ending := o.end(); min(event, last) <= now {
+			switch {
+			case last <= event:
+				return told{last, ended}
+			case ending == arbiter.Running:
+				return told{event, answered}
+			}
+			return o.afterEnd(attempt.WithEnding(ending), event, last)
+		}
+		at := start.Add(now)
+		if o.isSilent(now) || now >= o.ownerEnd() {
+			timeouts++
+			attempt = attempt.WithSilence(timeouts)
+		} else {
+			timeouts = 0
+			attempt = attempt.WithProgress(at).WithNewSearch()
+			if now >= o.ownerSignal {
+				attempt = attempt.WithNodeEnd(start.Add(o.ownerSignal + ownerLast))
+			}
+		}
+		for waits := false; !waits; {
+			switch attempt.Next(at) {
+			case arbiter.Ask:
+				attempt = attempt.WithAnswer(o.ask(now), at)
+			case arbiter.Reserve:
+				attempt = attempt.WithSearch(o.reserve(now))
+			case arbiter.Move:
+				return told{now, moved}
+			case arbiter.Drop:
+				return told{now, ended}
+			default:
+				waits = true
+			}
+		}
+	}
+}
+
+// end returns when the exchange ends, and how: arbiter.Running with an answer.
+func (o order) end() (time.Duration, arbiter.Ending) {
+	handBack := never
+	if o.handsBack && o.repeatable {
+		handBack = o.ownerSignal + ingressLast
+	}
+	switch first := min(o.answer, handBack, o.ownerEnd()); {
+	case first >= never:
+		return never, arbiter.Failed
+	case first == o.answer:
+		return o.arrival(first), arbiter.Running
+	case first == o.cut:
+		return o.arrival(first), arbiter.Failed
+	default:
+		return o.arrival(first), arbiter.NodeEnded
+	}
+}
+
+// afterEnd returns what becomes of a request whose attempt ended without an answer.
+func (o order) afterEnd(attempt arbiter.Attempt, now, last time.Duration) told {
+	switch attempt.Next(start.Add(now)) {
+	case arbiter.Move:
+		return told{now, moved}
+	case arbiter.Search:
+		if o.slotFree < last {
+			return told{max(now, o.slotFree), searched}
+		}
+		return told{last, ended}
+	default:
+		return told{now, ended}
+	}
+}
+
+func (o order) ask(now time.Duration) arbiter.Answer {
+	switch {
+	case o.isSilent(now):
+		return arbiter.Unreachable
+	case now >= o.ownerEnd():
+		return arbiter.Ended
+	default:
+		return arbiter.NotSealed
+	}
+}
+
+func (o order) reserve(now time.Duration) arbiter.SlotSearch {
+	if now < o.slotFree {
+		return arbiter.NoSlot
+	}
+	return arbiter.SlotReserved
+}
+
+// broken returns what is wrong with the end of a request; nothing if it is right.
+func (o order) broken(end told) string {
+	last := min(deadline, o.ingressSignal+ingressLast)
+	event, ending := o.end()
+	switch {
+	case end.what == moved && !o.repeatable:
+		return "a request that must run once ran twice"
+	case end.what != ended:
+		return ""
+	case end.at >= min(deadline, o.ingressSignal+lastSixth):
+		if event < last && ending == arbiter.Running {
+			return "an answer in time was not delivered"
+		}
+		return ""
+	case o.isAtWork(end.at):
+		return "given up while its backend server was at work"
+	case ending == arbiter.Running && event < last:
+		return "an answer in time was not delivered"
+	case ending == arbiter.NodeEnded && o.repeatable:
+		return "given up at a planned end with time left"
+	default:
+		return ""
+	}
+}
+
+// TestNoOrderOfEventsEndsARequestAtWork guards against an answer of the ingress's own while a backend server
+// is at work, in any order of the events that can end a request.
+func TestNoOrderOfEventsEndsARequestAtWork(t *testing.T) {
+	signals := []time.Duration{-5700, -4600, -3100, -1400, 200, 1600, 3300, never}
+	times := []time.Duration{100, 900, 2100, 3700, 5300, 6600, 8500, never}
+	counts := map[string]int{}
+	orders, failures := 0, 0
+	for _, ingressSignal := range signals {
+		for _, ownerSignal := range signals {
+			for _, answer := range times {
+				for _, cut := range times {
+					for _, silence := range times {
+						for _, restored := range times {
+							if restored <= silence {
+								continue
+							}
+							for _, slotFree := range times {
+								for flags := range 4 {
+									o := order{
+										ingressSignal: scale(ingressSignal), ownerSignal: scale(ownerSignal), answer: scale(answer) + 1, cut: scale(cut) + 2,
+										silence: scale(silence) + 3, restored: scale(restored) + 4, slotFree: scale(slotFree), handsBack: flags&1 != 0, repeatable: flags&2 != 0,
+									}
+									end := o.play()
+									orders++
+									counts[end.what]++
+									if fault := o.broken(end); fault != "" && failures < 10 {
+										failures++
+										t.Errorf("%s: %+v: %+v", fault, o, end)
+									}
+								}
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	t.Log(orders, "orders:", fmt.Sprint(counts))
+}
+
+// scale returns a time in milliseconds.
+func scale(t time.Duration) time.Duration {
+	if t == never {
+		return never
+	}
+	return t * time.Millisecond
+}
--- a/forwarder/abandon.go
+++ b/forwarder/abandon.go
@@ -5,7 +5,7 @@
 )
 
 // recordAbandoned records that this node waits no more for an attempt that may have run, unless its caller
-// left: for what reason, at which backend server, and how long this node had been stopping.
+// left: for what reason, at which backend server, and how long both nodes had been stopping.
 func (f *Forwarder) recordAbandoned(s *submission, backend fleet.Backend, number int, r *result) {
 	if r.outcome.Executed != fleet.ExecutedUnknown || r.outcome.Reason == fleet.ReasonCancelled {
 		return
@@ -19,6 +19,9 @@
 	if stopping := f.stopping.Load(); stopping != nil {
 		figures = append(figures, fleet.Milliseconds("stopping", now.Sub(stopping.since)))
 	}
+	if r.ownerStopping > 0 {
+		figures = append(figures, fleet.Milliseconds("owner", r.ownerStopping))
+	}
 	detail := string(s.kind) + " at " + string(backend.ID) + " of " + string(backend.Owner)
 	switch {
 	case r.successor != nil:
--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -5,6 +5,7 @@
 	"errors"
 	"syscall"
 
+	"cowsliptally.example/cowsliptally/arbiter"
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
@@ -14,24 +15,34 @@
 	if timeouts == 1 {
 		f.backOff(d.owner, "no sign of life")
 	}
-	known := silence{
-		timeouts:   timeouts,
-		repeatable: d.succession != nil,
-		lastLoss:   d.succession != nil && d.succession.submission.lostOwners+1 >= maxLostOwners,
-	}
-	d.successor.Store(nil) // one of an earlier silence
+	d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithSilence(timeouts) })
+	return f.decide(ctx, d)
+}
+
+// handleProgress reports whether an attempt whose owner gives signs of life is given up for the next one.
+func (f *Forwarder) handleProgress(ctx context.Context, d *delivery) bool {
+	d.update(arbiter.Attempt.WithNewSearch)
+	return f.decide(ctx, d)
+}
+
+// decide takes the steps that are due for an attempt, and reports whether it is given up.
+func (f *Forwarder) decide(ctx context.Context, d *delivery) bool {
+	d.update(func(a arbiter.Attempt) arbiter.Attempt {
+		a = a.WithDeadline(f.latestAnswer(d.submission))
+		if d.succession == nil {
+			return a
+		}
+		return a.WithRepeatable(d.succession.submission.lostCount(f.directory)+1 >= maxLostOwners)
+	})
 	for ctx.Err() == nil {
-		known.left = d.deadline.Sub(f.clock.Now())
-		switch known.next() {
-		case askOwner:
-			known.answer = f.askOwner(ctx, d)
-		case reserveNext:
-			known.search = noSlot
-			if next := f.reserveNext(ctx, d.succession); next != nil {
-				d.successor.Store(next)
-				known.search = slotReserved
-			}
-		case abandon:
+		switch d.next(f.clock.Now()) {
+		case arbiter.Ask:
+			answer := f.askOwner(ctx, d)
+			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithAnswer(answer, f.clock.Now()) })
+		case arbiter.Reserve:
+			search := f.reserveSlot(ctx, d)
+			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithSearch(search) })
+		case arbiter.Move, arbiter.Drop:
 			return true
 		default:
 			return false
@@ -40,20 +51,36 @@
 	return false
 }
 
+// reserveSlot looks for a slot for the attempt that follows.
+func (f *Forwarder) reserveSlot(ctx context.Context, d *delivery) arbiter.SlotSearch {
+	reason := fleet.ReasonStalled
+	if _, stopping := d.ownerStopping(); stopping {
+		reason = fleet.ReasonStopped
+	}
+	next := f.reserveNext(ctx, d.succession, reason)
+	if next == nil {
+		return arbiter.NoSlot
+	}
+	d.successor.Store(next)
+	return arbiter.SlotReserved
+}
+
 // askOwner asks a silent owner to seal an attempt. Later requests take new connections to it.
-func (f *Forwarder) askOwner(ctx context.Context, d *delivery) ownerAnswer {
+func (f *Forwarder) askOwner(ctx context.Context, d *delivery) arbiter.Answer {
 	f.renew(d)
 	sealed, err := f.seal(ctx, d, false)
 	d.answer.Store(&sealAnswer{sealed: sealed, err: err})
 	switch {
 	case sealed:
-		return ownerSealed
-	case errors.Is(err, syscall.ECONNREFUSED) || f.hasEnded(d.owner):
-		return ownerEnded // also if a later process at its address has answered
+		return arbiter.Sealed
+	case f.hasEnded(d.owner):
+		return arbiter.Gone // also if a later process at its address has answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return arbiter.Ended
 	case err == nil:
-		return ownerDidNotSeal
+		return arbiter.NotSealed
 	default:
-		return ownerUnreachable
+		return arbiter.Unreachable
 	}
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -69,7 +69,7 @@
 	if ctx.Err() != nil {
 		return refused(fleet.ContextReason(ctx), "the time limit passed before the request was sent")
 	}
-	d := newDelivery(s, owner, number, f.tickets.get(owner.ID))
+	d := f.newDelivery(s, owner, number)
 	request := f.outgoing(ctx, s, backend, owner, number, d.ticket)
 	mode.setHeader(request.Header)
 	exchange, err := f.pooler.Send(ctx, pooler.Message{
@@ -77,6 +77,7 @@
 		Request:         request,
 		Content:         s.content.Bytes(),
 		OnStall:         func(stall pooler.Stall) bool { return f.handleSilence(ctx, d, stall.Timeouts) },
+		OnProgress:      func() bool { return f.handleProgress(ctx, d) },
 		OnInformational: d.recordProgress,
 	})
 	if err != nil {
@@ -94,7 +95,7 @@
 // nothing was received on its connection, unless the caller's deadline passed.
 func (f *Forwarder) handleSendFailure(ctx context.Context, owner fleet.Member, err error) {
 	kind := fault.KindOf[pooler.Kind](err)
-	if ctx.Err() == nil && kind != pooler.KindBroken && kind != pooler.KindFull {
+	if ctx.Err() == nil && kind != pooler.KindBroken && kind != pooler.KindFull && kind != pooler.KindSuperseded {
 		f.backOff(owner, err.Error())
 	}
 }
@@ -142,6 +143,9 @@
 	if s.lastAttempt {
 		header.Set(fleet.HeaderLastAttempt, "true")
 	}
+	if s.succession != nil {
+		header.Set(fleet.HeaderFollows, "true")
+	}
 	if limit := f.picker.Limit(backend.ID); limit != "" {
 		header.Set(fleet.HeaderLimit, limit)
 	}
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -17,8 +17,14 @@
 	full []fleet.BackendID
 	// failing holds those suspected failing; they are used when no other is left.
 	failing []fleet.BackendID
-	// ran is the number of attempts that ran or may have run.
-	ran int
+	// ran is the number of attempts that ran or may have run, and ranAt where they did.
+	ran   int
+	ranAt []fleet.BackendID
+	// displaced is set while the last attempt that may have run was ended by a planned stop, or given up
+	// for one that had a slot.
+	displaced bool
+	// passed is the number of attempts before the present search for a slot that do not count.
+	passed int
 	// deadlineRefusals is the number of owners that refused because the time left is too short.
 	deadlineRefusals int
 	// budgetRefusals is the number of owners whose retry budget did not cover a retry.
@@ -52,6 +58,8 @@
 	}
 	if last.outcome.Executed != fleet.ExecutedNo {
 		a.ran++
+		a.ranAt = append(a.ranAt, backend.ID)
+		a.displaced = last.outcome.Reason == fleet.ReasonStopped && !last.reached || last.successor != nil
 	} else if last.outcome.Reason == fleet.ReasonDeadline {
 		a.deadlineRefusals++
 	}
@@ -62,6 +70,20 @@
 	}
 }
 
+// isRefusedInSearch reports whether an owner refused the attempt that takes the place of one at work. The
+// retry is charged already.
+func (a *attemptState) isRefusedInSearch(last *result) bool {
+	return a.displaced && !last.reached && last.outcome.Executed == fleet.ExecutedNo
+}
+
+// searchAgain forgets the refusals, so that all backend servers are asked again at which none of the
+// attempts, of which there were this many, may have run. They do not count as attempts.
+func (a *attemptState) searchAgain(attempts int) {
+	a.tried, a.full, a.failing, a.leaving = slices.Clone(a.ranAt), nil, nil, nil
+	a.budgetRefusals, a.leavingRefusals = 0, 0
+	a.passed = attempts - a.ran
+}
+
 // hasUntried reports whether at least count candidates were not tried.
 func (a *attemptState) hasUntried(count int) bool {
 	for _, candidate := range a.candidates {
@@ -106,7 +128,7 @@
 // declined returns the number of attempts that do not count as retries: they were
 // declined by full, failing or leaving backend servers, or by owners without retry budget.
 func (a *attemptState) declined() int {
-	return len(a.full) + len(a.failing) + a.leavingRefusals + a.budgetRefusals
+	return a.passed + len(a.full) + len(a.failing) + a.leavingRefusals + a.budgetRefusals
 }
 
 // recordRetryCause stores the failure whose retry is to be charged to an owner.
--- /dev/null
+++ b/forwarder/delivery.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"net/textproto"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/arbiter"
+	"cowsliptally.example/cowsliptally/fleet"
+)
+
+// delivery is an attempt that is sent to an owner, and what the owner told about it.
+type delivery struct {
+	submission *submission
+	owner      fleet.Member
+	number     int
+	ticket     string
+	clock      clockwork.Clock
+	// succession finds the attempt that follows if this one is given up although it may run; nil if
+	// none may.
+	succession *succession
+	// successor is that attempt, once a slot is reserved for it.
+	successor atomic.Pointer[successor]
+	// waiting is set while the last that the owner told is that the attempt waits, and that
+	// it will tell before it dispatches it.
+	waiting atomic.Bool
+	// answer is what the owner answered last when it was asked for a seal while it was silent;
+	// nil if it was not asked.
+	answer atomic.Pointer[sealAnswer]
+	// renewal renews the connections to the owner once.
+	renewal sync.Once
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// known is what is known about the attempt.
+	known arbiter.Attempt
+	// stoppingAt is when the owner told that its node stops; zero before.
+	stoppingAt time.Time
+}
+
+// sealAnswer is the answer to a request for a seal. With an error, there was none.
+type sealAnswer struct {
+	sealed bool
+	err    error
+}
+
+func (f *Forwarder) newDelivery(s *submission, owner fleet.Member, number int) *delivery {
+	return &delivery{
+		submission: s, owner: owner, number: number, ticket: f.tickets.get(owner.ID), clock: f.clock, succession: s.succession,
+		known: arbiter.New(f.clock.Now(), s.deadline),
+	}
+}
+
+// recordProgress records an informational response of the owner.
+func (d *delivery) recordProgress(header textproto.MIMEHeader) {
+	d.waiting.Store(header.Get(fleet.HeaderProgress) == fleet.ProgressWaiting)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.known = d.known.WithProgress(now)
+	left, err := strconv.ParseInt(header.Get(fleet.HeaderEnds), 10, 32)
+	if err != nil {
+		return // the owner's node does not stop
+	}
+	if d.stoppingAt.IsZero() {
+		d.stoppingAt = now
+	}
+	d.known = d.known.WithNodeEnd(now.Add(time.Duration(left) * time.Millisecond))
+}
+
+// update changes what is known about the attempt.
+func (d *delivery) update(change func(arbiter.Attempt) arbiter.Attempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known = change(d.known)
+}
+
+// next returns the next step.
+func (d *delivery) next(now time.Time) arbiter.Step {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Next(now)
+}
+
+// ownerStopping returns for how long the owner's node has been stopping, and whether it has told so.
+func (d *delivery) ownerStopping() (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stoppingAt.IsZero() {
+		return 0, false
+	}
+	return d.clock.Since(d.stoppingAt), true
+}
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -17,6 +17,15 @@
 	f.stopping.Store(&stopTimes{since: since, abort: abort})
 }
 
+// latestAnswer returns until when a submission may be answered: its deadline, or the time at which this
+// node aborts it.
+func (f *Forwarder) latestAnswer(s *submission) time.Time {
+	if stopping := f.stopping.Load(); stopping != nil && stopping.abort.Before(s.deadline) {
+		return stopping.abort
+	}
+	return s.deadline
+}
+
 // Drain refuses new requests; those in flight continue.
 func (f *Forwarder) Drain() { f.work.Close(drainer.Requests) }
 
--- /dev/null
+++ b/forwarder/move_test.go
@@ -0,0 +1,129 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/forwarder"
+)
+
+// endingOwner is an owner whose node ends at a time, with an attempt at work that takes some time.
+type endingOwner struct {
+	end      time.Time
+	work     time.Duration
+	attempts atomic.Int32
+	left     atomic.Bool
+}
+
+func (o *endingOwner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	header := w.Header()
+	header.Set(fleet.HeaderRequestID, q.Header.Get(fleet.HeaderRequestID))
+	if q.URL.Path == dispatcher.OfferPath {
+		header.Set(fleet.HeaderExecuted, string(fleet.ExecutedNo))
+		header.Set(fleet.HeaderReason, string(fleet.ReasonOffered))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !strings.HasPrefix(q.URL.Path, dispatcher.PathPrefix) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	o.attempts.Add(1)
+	done, beat := time.After(o.work), time.NewTicker(50*time.Millisecond)
+	defer beat.Stop()
+	for {
+		select {
+		case <-done:
+			header.Del(fleet.HeaderEnds)
+			header.Set(fleet.HeaderExecuted, string(fleet.ExecutedYes))
+			w.WriteHeader(http.StatusOK)
+			return
+		case <-q.Context().Done():
+			o.left.Store(true)
+			return
+		case <-beat.C:
+		}
+		if time.Now().After(o.end) {
+			panic(http.ErrAbortHandler)
+		}
+		header.Set(fleet.HeaderEnds, strconv.FormatInt(time.Until(o.end).Milliseconds(), 10))
+		w.WriteHeader(http.StatusProcessing)
+	}
+}
+
+// serveEnding returns a rig whose first owner ends after a time, and whose others have no free slot until another.
+func serveEnding(t *testing.T, ends, work, free time.Duration) (*rig, *endingOwner, *ledger) {
+	r, other := newRig(t, forwarder.WithRetrier(noBudget())), newLedger()
+	now := time.Now()
+	ending := &endingOwner{end: now.Add(ends), work: work}
+	r.servePeer(r.addOwner("a", newLedger()), ending)
+	for _, name := range []string{"b", "c", "d"} {
+		o := r.addOwner(name, other)
+		r.servePeer(o, busyUntil(now.Add(free), peerHandler(o.dispatcher)))
+	}
+	return r, ending, other
+}
+
+// TestRequestLeavesAStoppingOwnerOnlyForAReservedSlot guards against a request that is taken from a stopping
+// owner while all others are full, and against one that stays there until the node ends.
+func TestRequestLeavesAStoppingOwnerOnlyForAReservedSlot(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const free = 1500 * time.Millisecond
+	r, ending, other := serveEnding(t, 2500*time.Millisecond, time.Hour, free)
+	began := time.Now()
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "moved", fleet.HeaderTimeout, "9000")
+	took := time.Since(began)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count("moved"), 1)
+	is.Equal(ending.attempts.Load(), int32(1))
+	is.True(took > free-50*time.Millisecond)
+	is.True(took < 2500*time.Millisecond) // before the owner's node ended
+}
+
+// TestRequestIsAnsweredThoughItsOwnerEndsWhileOthersAreFull guards against an answer of the ingress's own at
+// the end of the owner's node, with seconds left.
+func TestRequestIsAnsweredThoughItsOwnerEndsWhileOthersAreFull(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r, _, other := serveEnding(t, 500*time.Millisecond, time.Hour, 2*time.Second)
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "searched", fleet.HeaderTimeout, "9000")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count("searched"), 1)
+}
+
+// TestRequestThatEndsBeforeItsOwnerStaysThere guards against a second run of a request that is answered in
+// time, or whose deadline comes first.
+func TestRequestThatEndsBeforeItsOwnerStaysThere(t *testing.T) {
+	for name, tc := range map[string]struct {
+		work    time.Duration
+		timeout string
+		status  int
+	}{
+		"answered":      {time.Second, "9000", http.StatusOK},
+		"deadline":      {time.Hour, "1500", http.StatusGatewayTimeout},
+		"must run once": {2 * time.Second, "9000", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			method, path := http.MethodGet, "/"
+			if name == "must run once" {
+				method, path = http.MethodPost, "/refund"
+			}
+			r, ending, other := serveEnding(t, 2500*time.Millisecond, tc.work, 0)
+			response, _ := sendRequest(t, r, method, path, "", fleet.HeaderRequestID, "stays", fleet.HeaderTimeout, tc.timeout)
+			is.Equal(response.StatusCode, tc.status)
+			is.Equal(ending.attempts.Load(), int32(1))
+			is.Equal(other.total(), 0)
+		})
+	}
+}
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -4,9 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/textproto"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,49 +20,16 @@
 	sealInterval = 20 * time.Millisecond
 )
 
-// delivery is an attempt that is sent to an owner, and what the owner told about it.
-type delivery struct {
-	submission *submission
-	owner      fleet.Member
-	number     int
-	ticket     string
-	deadline   time.Time
-	// succession finds the attempt that follows if this one is given up although it may run; nil if
-	// none may.
-	succession *succession
-	// successor is that attempt, once a slot is reserved for it.
-	successor atomic.Pointer[successor]
-	// waiting is set while the last that the owner told is that the attempt waits, and that
-	// it will tell before it dispatches it.
-	waiting atomic.Bool
-	// answer is what the owner answered last when it was asked for a seal while it was silent;
-	// nil if it was not asked.
-	answer atomic.Pointer[sealAnswer]
-	// renewal renews the connections to the owner once.
-	renewal sync.Once
-}
-
-// sealAnswer is the answer to a request for a seal. With an error, there was none.
-type sealAnswer struct {
-	sealed bool
-	err    error
-}
-
-func newDelivery(s *submission, owner fleet.Member, number int, ticket string) *delivery {
-	return &delivery{submission: s, owner: owner, number: number, ticket: ticket, deadline: s.deadline, succession: s.succession}
-}
-
-// recordProgress records an informational response of the owner.
-func (d *delivery) recordProgress(header textproto.MIMEHeader) {
-	d.waiting.Store(header.Get(fleet.HeaderProgress) == fleet.ProgressWaiting)
-}
-
 // unanswered returns the result of an attempt whose exchange ended without an answer.
 func (f *Forwarder) unanswered(ctx context.Context, d *delivery, exchange *pooler.Exchange, err error) *result {
 	reason := failureReason(ctx, err)
 	if !exchange.Sent {
 		return refused(reason, err.Error())
 	}
+	stopping, told := d.ownerStopping()
+	if reason == fleet.ReasonBroken && (told || f.hasLeft(d.owner)) {
+		reason = fleet.ReasonStopped
+	}
 	if reason == fleet.ReasonStalled {
 		f.renew(d)
 	}
@@ -73,7 +37,8 @@
 		return unknown(reason, "the caller left")
 	}
 	r := f.prove(ctx, d, exchange, unknown(reason, err.Error()))
-	if reason == fleet.ReasonStalled {
+	r.ownerStopping = stopping
+	if reason == fleet.ReasonStalled || reason == fleet.ReasonStopped {
 		r.successor = d.successor.Load()
 	}
 	return r
@@ -94,9 +59,11 @@
 	if sealed {
 		r.outcome.Executed = fleet.ExecutedNo
 	}
-	r.notAttributed = err == nil && r.outcome.Reason == fleet.ReasonStalled
+	r.notAttributed = err == nil && r.outcome.Reason == fleet.ReasonStalled || r.outcome.Reason == fleet.ReasonStopped
 	// The planned end of a node says nothing of the requests that ran there.
-	r.lostOwner = err != nil && !sealed && ctx.Err() == nil && !f.hasLeft(d.owner)
+	if err != nil && !sealed && ctx.Err() == nil && r.outcome.Reason != fleet.ReasonStopped && !f.hasLeft(d.owner) {
+		r.lost = &lostOwner{id: d.owner.ID, silent: r.outcome.Reason == fleet.ReasonStalled}
+	}
 	return r
 }
 
@@ -138,6 +105,8 @@
 	switch fault.KindOf[pooler.Kind](err) {
 	case pooler.KindSilent:
 		return fleet.ReasonStalled
+	case pooler.KindSuperseded:
+		return fleet.ReasonStopped
 	case pooler.KindDial:
 		return fleet.ReasonConnect
 	case pooler.KindFull:
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -17,12 +17,14 @@
 	// notAttributed is set when the failure is not attributed to the owner or backend server,
 	// because a connection was lost or the owner's retry budget was used up.
 	notAttributed bool
-	// lostOwner is set when the owner could not be queried any more about the attempt.
-	lostOwner bool
+	// lost is the owner if it could not be queried any more about the attempt; else nil.
+	lost *lostOwner
 	// reached is set when the backend server itself refused the request.
 	reached bool
 	// noWaitRefused is set when the owner had no free slot for a no-wait attempt.
 	noWaitRefused bool
+	// ownerStopping is how long the owner's node had been stopping; 0 if it has not told that it does.
+	ownerStopping time.Duration
 	// successor is the next attempt if a slot is reserved for it.
 	successor *successor
 	// took is how long the attempt lasted.
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -62,8 +62,8 @@
 	retryAfter time.Duration
 	// keep keeps the submission from being aborted before the node ends.
 	keep func() bool
-	// lostOwners counts the owners that could not be queried any more about an attempt.
-	lostOwners int
+	// lost holds the owners that could not be queried any more about an attempt.
+	lost []lostOwner
 	// trialNode is the node that permitted the trial run of this suspect request; it is empty
 	// for other requests.
 	trialNode fleet.NodeID
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -39,8 +39,8 @@
 	return n
 }
 
-// failed returns the present attempt as one that failed for the silence of its owner.
-func (n *succession) failed(now time.Time) retrier.Attempt {
+// failed returns the present attempt as one that failed for a reason.
+func (n *succession) failed(now time.Time, reason fleet.Reason) retrier.Attempt {
 	s := n.submission
 	return retrier.Attempt{
 		Service:    s.service,
@@ -49,16 +49,16 @@
 		MaxRuns:    s.maxRuns,
 		Reached:    true,
 		Took:       now.Sub(n.started),
-		Outcome:    fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: fleet.ReasonStalled},
+		Outcome:    fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: reason},
 		Idempotent: s.idempotent,
 		Remaining:  s.deadline.Sub(now),
 	}
 }
 
-// reserveNext has another owner reserve a slot for the next attempt, and charges the retry. It
-// returns nil if none has, or no budget covers the retry.
-func (f *Forwarder) reserveNext(ctx context.Context, n *succession) *successor {
-	failed := n.failed(f.clock.Now())
+// reserveNext has another owner reserve a slot for the attempt that follows this one, which is given up
+// for a reason, and charges the retry. It returns nil if none has, or no budget covers the retry.
+func (f *Forwarder) reserveNext(ctx context.Context, n *succession, reason fleet.Reason) *successor {
+	failed := n.failed(f.clock.Now(), reason)
 	cost, allowed := f.retrier.Quote(failed)
 	if !allowed {
 		return nil
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -20,6 +20,8 @@
 	// maxFailing is the number of refusals by failing backend servers after which a
 	// submission makes forced attempts.
 	maxFailing = 6
+	// maxSearchAttempts bounds the attempts in one search for a slot. Those that owners decline do not count.
+	maxSearchAttempts = 8
 	// maxBudgetRefusals bounds the owners whose retry budgets are tried for a retry. Three
 	// random owners hold a good part of the fleet's remaining budget; each costs a message.
 	maxBudgetRefusals = 3
@@ -34,6 +36,9 @@
 		state.candidates = f.directory.Backends(s.service)
 		backend, mode, found := f.selectBackend(s, state)
 		if !found {
+			if f.waitForSlot(ctx, s, state, number) {
+				continue
+			}
 			return state.bestResult(state.failureToReport(f.noBackendResult(s, last)))
 		}
 		s.lastAttempt = !f.allowsAnother(s, state, number-state.declined())
@@ -43,10 +48,13 @@
 		if last.answered() && !f.replaceable(s, last) {
 			return state.replaceErrorAnswer(last)
 		}
-		s.recordAttempt(last)
+		s.recordAttempt(f.directory, last)
 		state.recordAttempt(backend, last)
 		f.recordRefusal(s, backend, last)
-		if state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals || !f.prepareRetry(ctx, s, number-state.declined(), state.ran, last) {
+		if !f.mayGoOn(ctx, s, state, number, last) {
+			if f.waitForSlot(ctx, s, state, number) {
+				continue
+			}
 			return state.bestResult(state.failureToReport(last))
 		}
 		if s.retryCost > 0 {
@@ -56,6 +64,19 @@
 	}
 }
 
+// mayGoOn reports whether another attempt follows the last one, which has this number.
+func (f *Forwarder) mayGoOn(ctx context.Context, s *submission, state *attemptState, number int, last *result) bool {
+	counted := number - state.declined()
+	switch {
+	case state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals:
+		return false
+	case state.isRefusedInSearch(last):
+		return counted < maxSearchAttempts && ctx.Err() == nil
+	default:
+		return f.prepareRetry(ctx, s, counted, state.ran, last)
+	}
+}
+
 // recordRefusal records that a backend server is failing or leaves, by its owner's word.
 func (f *Forwarder) recordRefusal(s *submission, backend fleet.Backend, r *result) {
 	switch {
@@ -136,7 +157,7 @@
 
 // recordAttempt updates the submission after a failed attempt. A request that lost two
 // owners may have killed their VMs, which cannot report it, and is not sent to a third.
-func (s *submission) recordAttempt(last *result) {
+func (s *submission) recordAttempt(directory Directory, last *result) {
 	if last.outcome.Executed == fleet.ExecutedUnknown {
 		s.mayHaveRun = true
 	}
@@ -144,10 +165,10 @@
 	if wait := last.outcome.RetryAfter; wait > 0 && (s.retryAfter == 0 || wait < s.retryAfter) {
 		s.retryAfter = wait
 	}
-	if last.lostOwner {
-		s.lostOwners++
+	if last.lost != nil {
+		s.lost = append(s.lost, *last.lost)
 	}
-	if s.lostOwners >= maxLostOwners {
+	if s.lostCount(directory) >= maxLostOwners {
 		last.outcome.Reason = fleet.ReasonOwnersLost
 	}
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -129,13 +129,14 @@
 }
 
 // Quote is Allows, with the cost to charge to the retry budget of the next backend server's owner; 0
-// while this node's budget covers the retry.
+// while this node's budget covers the retry, and for a request that a planned stop ends, which Decide
+// charges to this node's budget in any case.
 func (r *Retrier) Quote(a Attempt) (ownerCost float64, allowed bool) {
 	if a.Number >= r.attempts || a.Remaining <= 0 || !a.repeatable() {
 		return 0, false
 	}
 	cost := r.retryCost(a)
-	if r.Remaining(a.Service) >= cost {
+	if a.Outcome.Reason == fleet.ReasonStopped || r.Remaining(a.Service) >= cost {
 		return 0, true
 	}
 	return cost, r.ownerCharge
