Count no silent owner as lost that the membership holds for alive

What callers saw: 504 at the deadline for a request that may run twice, while a third owner was free: the paths to the two owners that had run it were cut for a while.

Cause: an ingress gives a submission up after two owners that it could not ask, as the request may kill their VMs. A cut path looks the same to it. The membership can tell them apart: it holds a node for alive as long as any other node reaches it. A silent owner counts now only if it does not. An owner whose connection broke and that cannot be asked counts as before.

The price: a request that kills VMs may reach a third one if it does so before the membership suspects the first, in about a second.

--- a/forwarder/lost.go
+++ b/forwarder/lost.go
@@ -9,5 +9,14 @@
 	silent bool
 }
 
-// lostCount returns the number of lost owners.
-func (s *submission) lostCount(Directory) int { return len(s.lost) }
+// lostCount returns the number of lost owners. A silent one counts unless the membership holds its node for
+// alive, as other nodes reach it then.
+func (s *submission) lostCount(directory Directory) (count int) {
+	for _, owner := range s.lost {
+		member, found := directory.Member(owner.id)
+		if !owner.silent || !found || member.State != fleet.MemberAlive {
+			count++
+		}
+	}
+	return count
+}
