Lose one request at most on dropped idle connections

Callers saw 502 for several POSTs at one moment at a sound backend server, each shortly after it was sent; GETs were tried again after the crash probes, until the retry budget was spent. The owner's log says reason=broken with a short time taken.

Cause: a backend server, or what lies between, drops a connection that was idle for less than the idle timeout (8 s) and does not say so. The request that is written to it next is reset and may have run, so it must not be sent again. Each of the pooled connections was in the same state, and each cost a request.

expirer learns how long idle connections last at an address. Requests that come within 2 ms of another over connections that were idle for 100 ms or longer wait until it is known whether that one is reset. After a reset, idle connections are closed from the longest time that lasted before, but 100 ms at least, for 8 s, and up to 64 s if it happens again. A connection is given up before the first byte is written, so the request goes over another one or a new one, and the proof that nothing was written stays as it was. The counters connections.backend.dropped and .expired, and "dropped after ... idle" in the event of the attempt, tell operators. Only connections to backend servers are treated so.

Evidence: net/http's Transport takes the connection that was used last, so that all others were idle for longer. A reset later than 10 ms after the request does not count, as a server that fails at work looks the same.

Ruled out: a look at the socket before each write (MSG_PEEK). Renew after a reset, which also closes the connections that are in use. A choice of recently used connections for requests that must run once: the Transport takes these for all.

Test before, without the expirer (8 requests at once over 8 connections that were dropped after 300 ms): idle_test.go:93: not true: sendBurst(t, p, address) <= 1 with all 8 lost.

--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -7,6 +7,7 @@
 	"cowsliptally.example/cowsliptally/broadcaster"
 	"cowsliptally.example/cowsliptally/deduplicator"
 	"cowsliptally.example/cowsliptally/dispatcher"
+	"cowsliptally.example/cowsliptally/expirer"
 	"cowsliptally.example/cowsliptally/forwarder"
 	"cowsliptally.example/cowsliptally/identity/tabulator"
 	"cowsliptally.example/cowsliptally/pooler"
@@ -83,7 +84,8 @@
 		dispatcher.WithDrainer(d.work),
 		dispatcher.WithMembers(d.roster),
 		dispatcher.WithMemory(d.memory),
-		dispatcher.WithPooler(d.newPooler("connections.backend", openBackendsDivisor, dispatcher.DefaultProgressTimeout, d.set.BackendIdle, pooler.WithInterim(maxBackendInterim))),
+		dispatcher.WithPooler(d.newPooler("connections.backend", openBackendsDivisor, dispatcher.DefaultProgressTimeout, d.set.BackendIdle,
+			pooler.WithInterim(maxBackendInterim), pooler.WithExpirer(expirer.New(expirer.WithClock(d.clock))))),
 		dispatcher.WithQuarantiner(d.quarantiner),
 		dispatcher.WithRecorder(d.journal),
 		dispatcher.WithSuspectReporter(d.broadcaster),
--- a/pooler/option.go
+++ b/pooler/option.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/expirer"
 )
 
 const (
@@ -60,6 +61,11 @@
 	return func(p *Pooler) { p.heads = memory }
 }
 
+// WithExpirer replaces connections that were idle for longer than they last at their address.
+func WithExpirer(expirer *expirer.Expirer) Option {
+	return func(p *Pooler) { p.expirer = expirer }
+}
+
 // WithInterim bounds the answers with status 1xx before the last one. Each costs memory until it is
 // collected, so a server that sends them without end is to be cut off soon.
 func WithInterim(bound int) Option {
@@ -67,8 +73,9 @@
 }
 
 // WithMetrics counts the connections that are opened and the exchanges that reuse one
-// as NAME.opened and NAME.reused, those that its bounds refuse as NAME.full and NAME.headmemory, and
-// late answers to earlier requests that are discarded as NAME.strays.
+// as NAME.opened and NAME.reused, those that its bounds refuse as NAME.full and NAME.headmemory,
+// late answers to earlier requests that are discarded as NAME.strays, requests that are lost on an
+// idle connection that was dropped as NAME.dropped, and connections that an Expirer replaces as NAME.expired.
 func WithMetrics(registry metrics.Registry, name string) Option {
 	return func(p *Pooler) {
 		p.opened = metrics.GetOrRegisterCounter(name+".opened", registry)
@@ -76,5 +83,7 @@
 		p.full = metrics.GetOrRegisterCounter(name+".full", registry)
 		p.headless = metrics.GetOrRegisterCounter(name+".headmemory", registry)
 		p.strays = metrics.GetOrRegisterCounter(name+".strays", registry)
+		p.dropped = metrics.GetOrRegisterCounter(name+".dropped", registry)
+		p.expired = metrics.GetOrRegisterCounter(name+".expired", registry)
 	}
 }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cowsliptally.example/cowsliptally/accountant"
+	"cowsliptally.example/cowsliptally/expirer"
 	"cowsliptally.example/cowsliptally/fault"
 )
 
@@ -57,6 +58,9 @@
 	full, headless metrics.Counter
 	// strays counts the late answers to earlier requests that were discarded.
 	strays metrics.Counter
+	// dropped counts the requests that were lost on a connection dropped while it was idle, and
+	// expired the connections that were idle for too long to be used.
+	dropped, expired metrics.Counter
 	// maxOpen bounds the open connections; 0 sets no bound.
 	maxOpen int64
 	// maxInterim bounds the answers with status 1xx before the last one.
@@ -64,6 +68,8 @@
 	open       atomic.Int64
 	// heads bounds the memory for heads of answers; nil sets no bound.
 	heads *accountant.Accountant
+	// expirer knows how long idle connections last; nil uses them until the idle timeout.
+	expirer *expirer.Expirer
 	// fresh opens a new connection for each request.
 	fresh *http.Transport
 
@@ -84,6 +90,8 @@
 		full:        metrics.NilCounter{},
 		headless:    metrics.NilCounter{},
 		strays:      metrics.NilCounter{},
+		dropped:     metrics.NilCounter{},
+		expired:     metrics.NilCounter{},
 	}
 	for _, option := range options {
 		option(p)
@@ -101,7 +109,8 @@
 }
 
 // Send sends a message once. A pooled connection found closed before a byte was
-// written, or over which the request was refused before, is replaced; nothing else is retried.
+// written, idle for too long, or over which the request was refused before, is replaced; nothing
+// else is retried.
 func (p *Pooler) Send(ctx context.Context, m Message) (*Exchange, error) {
 	for stale := 0; ; stale++ {
 		exchange, err := p.send(ctx, m, stale >= maxStale)
@@ -156,12 +165,15 @@
 	w := &watcher{clock: p.clock, progress: p.progress, onStall: m.OnStall, onProgress: m.OnProgress, cancel: cancel}
 	defer w.stop()
 	var used *conn
+	var again reuse
 	var before uint64
 	interim := 0
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			used = info.Conn.(*conn)
 			exchange.conn = used
+			var expired bool
+			again, expired = p.reuse(ctx, m, info)
 			used.begin()
 			before = used.writes.Load()
 			exchange.Reused, exchange.Opened = info.Reused, used.opened
@@ -170,7 +182,7 @@
 			}
 			var sound bool
 			exchange.turn, sound = used.strays.begin(m, info.Reused)
-			if info.Reused && (!sound || used.hasRefused(m.ID)) {
+			if info.Reused && (!sound || expired || used.hasRefused(m.ID)) {
 				used.breakOff()
 			}
 			w.start(used, info.Reused)
@@ -196,6 +208,7 @@
 		err = used.accept(response, before)
 	}
 	if err == nil {
+		p.recordAnswer(m, again)
 		exchange.setResponse(response)
 		exchange.Sent = true
 		exchange.reserved.Store(used.answer.take())
@@ -206,6 +219,9 @@
 		exchange.Sent = used.writes.Load() != before
 		exchange.Ended = used.endedAfterHead() && !used.strays.strayedIn(exchange.turn)
 	}
+	if exchange.Sent {
+		err = p.recordFailure(m, again, err)
+	}
 	if errors.Is(err, errHeads) {
 		p.headless.Inc(1)
 	}
