Reset the connection of an HTTP/1.0 caller whose streamed answer is cut

Callers that speak HTTP/1.0 got a part of an answer as a complete one, with status 200. HTTP/1.0 has no chunks, so an answer that is larger than the buffer and has no length ends with its connection. When the backend server reset it, or ended it while the upload was still written, the owner and the ingress noticed and broke off, but the ingress closed the caller's connection in order: the acceptor ends the sending direction first, and the kernel does the same for a process that is killed.

While such an answer is written, its connection now has a linger time of 0, which is taken back once the answer is with the kernel whole. Any close in between resets the connection, also that of the kernel after the process has ended. It costs two system calls for each such answer, and nothing for others. To buffer these answers was ruled out: there is no bound on them. To reset only where a stream fails was ruled out: the end of the process would still look like the end of the answer.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -127,3 +127,15 @@
 	}
 	return accepted.watch(notify)
 }
+
+// ResetUntilEnd has the connection of the request with this context reset when it is closed, also by
+// the end of the process, until the answer has ended. It is for answers that end with their connection:
+// nothing else tells a part of one from the whole. It does nothing on other connections.
+func ResetUntilEnd(ctx context.Context) (ended func()) {
+	accepted, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	accepted.setUnended(true)
+	return func() { accepted.setUnended(false) }
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -57,6 +57,8 @@
 	reading chan struct{}
 	cancel  context.CancelFunc
 	closed  bool
+	// unended is set while the end of the connection would end an answer.
+	unended bool
 }
 
 func (c *conn) setCancel(cancel context.CancelFunc) {
@@ -200,9 +202,29 @@
 	return nil
 }
 
+// SetLinger sets whether closing the connection resets it, as that of net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil
+}
+
+// setUnended sets whether the end of the connection would end an answer.
+func (c *conn) setUnended(unended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unended = unended; unended {
+		_ = c.SetLinger(0) // fails only if the connection has ended
+	} else {
+		_ = c.SetLinger(-1) // the default
+	}
+}
+
 // Close ends the sending direction at once, and the connection once the other end has
 // closed it or the linger time has passed: closing a connection with unread bytes would
-// reset it, and the other end would lose the last answer.
+// reset it, and the other end would lose the last answer. It resets one with an answer that
+// has not ended.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -210,12 +232,12 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	ended, cancel := c.err != nil, c.cancel
+	atOnce, cancel := c.err != nil || c.unended, c.cancel
 	c.mu.Unlock()
 	if cancel != nil {
 		defer cancel()
 	}
-	if ended || !c.acceptor.work.Enter(drainer.Closing) {
+	if atOnce || !c.acceptor.work.Enter(drainer.Closing) {
 		return c.Conn.Close()
 	}
 	_ = c.CloseWrite() // fails only if the connection has ended, which discard notices
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"cowsliptally.example/cowsliptally/acceptor"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/scrubber"
 )
@@ -40,7 +41,22 @@
 	if s.request.Method == http.MethodHead {
 		return
 	}
+	if length < 0 && !s.request.ProtoAtLeast(1, 1) {
+		f.streamUndelimited(w, s, r)
+		return
+	}
+	f.stream(w, r)
+}
+
+// streamUndelimited writes the body of an answer that ends with its connection, as HTTP/1.0 has no chunks.
+func (f *Forwarder) streamUndelimited(w http.ResponseWriter, s *submission, r *result) {
+	ended := acceptor.ResetUntilEnd(s.request.Context())
 	f.stream(w, r)
+	// What net/http holds is to be with the kernel before an end in order is allowed.
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	ended()
 }
 
 // stream writes the body; each part must be written within the write timeout.
--- a/heads/gatekeeper/conn.go
+++ b/heads/gatekeeper/conn.go
@@ -213,3 +213,11 @@
 	}
 	return nil
 }
+
+// SetLinger sets whether closing the connection resets it, as that of net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil
+}
