Take no answer of HTTP/1.0 with a transfer encoding

A backend server that answers with HTTP/1.0 and with chunks had its chunks passed on as the body: the caller got a 200 whose body was "2\r\nok\r\n0\r\n\r\n" in place of "ok". When the answer ended inside a chunk, the caller got that part as a complete answer; with a length beside the chunks it got as many bytes of the chunks as the length says.

net/http ignores the transfer encoding of an HTTP/1.0 message and removes the header, so that the end of the connection, or the length, ends the body. RFC 9112, section 6.1, has a client treat the framing of such a message as faulty. The table of raw answers showed it on the code before, at both nodes:

"chunk cut, HTTP/1.0"/node 0: taken for complete: status 200 with 5 bytes of 0: "5\r\nok" "chunks, length, HTTP/1.0"/node 0: taken for complete: status 200 with 7 bytes of 0: "2\r\nok\r\n" "two chunks, HTTP/1.0"/node 0: taken for complete: status 200 with 17 bytes of 0: "1\r\no\r\n1\r\nk\r\n0\r\n\r\n"

The pooler follows the heads of answers in any case, to bound their memory, and now breaks the exchange if the head names an encoding and the protocol is HTTP/1.0. A pooler without a bound follows them as well. Decoding the chunks was ruled out: a hop that speaks HTTP/1.0 may have passed on the header alone.

--- a/heads/weigher/body.go
+++ b/heads/weigher/body.go
@@ -50,6 +50,9 @@
 	return b.framing == framingNone || b.framing == framingLength && b.left == 0
 }
 
+// IsEncoded reports whether the head names a transfer encoding, or a length that is none.
+func (b *Body) IsEncoded() bool { return b.framing == framingChunks || b.framing == framingUnknown }
+
 // withLength returns the body with a length; the encoding takes precedence.
 func (b Body) withLength(value []byte, cut bool) Body {
 	if b.framing == framingChunks || b.framing == framingUnknown {
--- a/pooler/answer.go
+++ b/pooler/answer.go
@@ -110,6 +110,17 @@
 	return true
 }
 
+// isEncoded reports whether the head that was read names a transfer encoding.
+func (a *answer) isEncoded() bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	body := a.head.Body()
+	return a.inBody && body.IsEncoded()
+}
+
 // reset begins another head. The caller holds mu.
 func (a *answer) reset() {
 	a.release()
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -32,7 +32,7 @@
 	tail [len(headEnd)]byte
 
 	// answer reserves memory for the heads of answers, and onClose ends the count of the
-	// connection; each is nil if there is no bound.
+	// connection; each may be nil in tests.
 	answer  *answer
 	onClose func()
 	// strays removes late answers to earlier requests.
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -66,7 +67,7 @@
 	// maxInterim bounds the answers with status 1xx before the last one.
 	maxInterim int
 	open       atomic.Int64
-	// heads bounds the memory for heads of answers; nil sets no bound.
+	// heads bounds the memory for heads of answers.
 	heads *accountant.Accountant
 	// expirer knows how long idle connections last; nil uses them until the idle timeout.
 	expirer *expirer.Expirer
@@ -92,6 +93,7 @@
 		strays:      metrics.NilCounter{},
 		dropped:     metrics.NilCounter{},
 		expired:     metrics.NilCounter{},
+		heads:       accountant.New(math.MaxInt64),
 	}
 	for _, option := range options {
 		option(p)
@@ -268,11 +270,8 @@
 		return nil, err
 	}
 	p.opened.Inc(1)
-	c := &conn{Conn: made, opened: p.clock.Now(), onClose: func() { p.open.Add(-1) }}
+	c := &conn{Conn: made, opened: p.clock.Now(), onClose: func() { p.open.Add(-1) }, answer: &answer{memory: p.heads}}
 	c.strays.discarded = p.strays
-	if p.heads != nil {
-		c.answer = &answer{memory: p.heads}
-	}
 	return c, nil
 }
 
