Reserve no memory for a head that is read while its connection is closed

Found by reading, while a failure of FuzzHeads was traced, which it does not explain. No caller saw it.

A read that has its bytes when another goroutine closes the connection reserved memory for their head after Close had released everything, and nothing released it any more:

close_test.go:51: 9664 != 0

Only http.Server.Close is known to close a connection during a read of HTTP/1: the server ends its own reads first, and the acceptor waits for them. So nodes met it only while they stopped, where nothing follows.

Read now fails on a closed connection. The test has a connection whose read returns a head once it is closed; it fails before and passes now, also under the race detector.

--- a/heads/gatekeeper/conn.go
+++ b/heads/gatekeeper/conn.go
@@ -54,6 +54,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed // Close has released the memory
+	}
 	if c.refused.Load() {
 		return 0, io.EOF
 	}
