Tell ingresses when their owner's node ends

What callers saw: a request at which a backend server worked was given up when the node beside that backend server ended. Its ingress heard of the stop only when the owner handed the request back, 0.3 s before its end, or closed the connection, and then had no time left to find another owner.

Cause: an owner told nothing of its stop before it gave a request up.

Now each informational response that an owner writes once its node stops carries the milliseconds until the node ends (Cowsliptally-Ends). Attempts in flight at the stop, and those accepted later, are sent one at once. The final answer never carries it. An attempt that its ingress marks as one which it follows by itself (Cowsliptally-Follows) is not handed back any more; without the mark nothing changes. Dispatcher.Stop takes both times of a stop: when admitted attempts have to be done, and when the node ends. What is admitted is the same as before.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -43,7 +43,7 @@
 // serve waits for a slot, dispatches the attempt and answers it.
 func (a *attempt) serve(ctx context.Context, w http.ResponseWriter) {
 	d := a.dispatcher
-	beats := startHeartbeat(w, d.clock, d.heartbeat)
+	beats := d.startHeartbeat(w)
 	arrived := d.clock.Now()
 	id, outcome := a.admit(ctx, beats)
 	if outcome.Reason != "" {
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -26,6 +26,8 @@
 	noWait bool
 	// last is set when no further attempt is allowed if this one runs.
 	last bool
+	// follows is set when the ingress finds the next attempt itself if this node stops.
+	follows bool
 	// retryCost is charged to this node's retry budget for the attempt; 0 means no charge.
 	retryCost float64
 	// received is when a request was received that its ingress has not counted for its retry
@@ -45,10 +47,10 @@
 func (c call) repeatable() bool { return c.idempotent && !c.last }
 
 // isHandedBack reports whether a node that ends at a time hands the attempt back: another one may
-// follow, and this one is unlikely to end here. How long its kind takes here says little of other
-// backend servers.
+// follow that its ingress doesn't find by itself, and this one is unlikely to end here. How long its
+// kind takes here says little of other backend servers.
 func (c call) isHandedBack(now, expectedEnd, nodeEnd time.Time) bool {
-	if !c.repeatable() || c.deadline.Sub(now) <= minRetryTime || c.deadline.Before(nodeEnd) {
+	if !c.repeatable() || c.follows || c.deadline.Sub(now) <= minRetryTime || c.deadline.Before(nodeEnd) {
 		return false
 	}
 	return !expectedEnd.After(now) || expectedEnd.After(nodeEnd)
@@ -66,6 +68,7 @@
 		idempotent:   header.Get(fleet.HeaderIdempotent) == "true",
 		trial:        header.Get(fleet.HeaderTrial) == "true",
 		last:         header.Get(fleet.HeaderLastAttempt) == "true",
+		follows:      header.Get(fleet.HeaderFollows) == "true",
 		forced:       header.Get(fleet.HeaderForced) == "true",
 		noWait:       header.Get(fleet.HeaderNoWait) == "none",
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,8 +65,8 @@
 	// handingBack is cancelled when the requests that may run again elsewhere are handed back.
 	handingBack context.Context
 	handBack    context.CancelFunc
-	// nodeEnd is when the node ends; nil until requests are handed back.
-	nodeEnd atomic.Pointer[time.Time]
+	// stopping is the stop of the node.
+	stopping *stopping
 
 	// declined counts the attempts that were refused because the node or their backend server
 	// leaves.
@@ -74,8 +74,8 @@
 
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
-	// end is when the node ends; zero while it does not stop.
-	end time.Time
+	// due is when admitted attempts have to be done; zero while the node does not stop.
+	due time.Time
 	// retired is set once each backend server gets one request at a time.
 	retired bool
 }
@@ -127,6 +127,7 @@
 		d.memory = accountant.New(DefaultMemory)
 	}
 	d.verifier = verifier.New(verifier.WithClock(d.clock), verifier.WithCutHandler(d.pooler.Renew))
+	d.stopping = newStopping(d.clock)
 	d.reservations = reserver.New[attemptKey](d.clock, reservationTime, reservation.release)
 	d.bodies = collector.New(d.memory, d.bodyBound)
 	d.answers = collector.New(d.memory.Share(d.memory.Bound()/memoryShares), d.answerBound)
@@ -244,8 +245,8 @@
 		if d.estimates {
 			g.estimator = estimator.New(d.clock.Now())
 		}
-		if !d.end.IsZero() {
-			g.stop(d.end)
+		if !d.due.IsZero() {
+			g.stop(d.due)
 		}
 		if d.retired {
 			g.retire()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -166,12 +166,12 @@
 	g.deliver(g.admitter.Close())
 }
 
-// stop tells when the node ends.
-func (g *gate) stop(end time.Time) {
+// stop tells that the node stops and until when attempts have to be done.
+func (g *gate) stop(due time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.deliver(g.admitter.Stop(end, g.clock.Now()))
+	g.deliver(g.admitter.Stop(due, g.clock.Now()))
 }
 
 // retire admits one request at a time from now on.
--- a/dispatcher/heartbeat.go
+++ b/dispatcher/heartbeat.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,9 +18,14 @@
 // It also proves to the ingress that an attempt was not dispatched by an owner that died:
 // an attempt that has to wait is announced as waiting, and as dispatched before it is. An
 // attempt that need not wait is announced as neither, so it costs nothing.
+//
+// Once the node stops, each response tells when it ends, so that the ingress can find another
+// owner before. The first one is written at once.
 type heartbeat struct {
 	clock   clockwork.Clock
 	spacing time.Duration
+	// stopping is the stop of the node.
+	stopping *stopping
 
 	mu      sync.Mutex
 	writer  http.ResponseWriter
@@ -26,13 +33,16 @@
 	stopped bool
 	// waiting is set once the attempt was announced as waiting.
 	waiting bool
+	// ignoreStop ends the wait for the stop of the node.
+	ignoreStop func() bool
 }
 
-func startHeartbeat(w http.ResponseWriter, clock clockwork.Clock, spacing time.Duration) *heartbeat {
-	h := &heartbeat{clock: clock, spacing: spacing, writer: w}
+func (d *Dispatcher) startHeartbeat(w http.ResponseWriter) *heartbeat {
+	h := &heartbeat{clock: d.clock, spacing: d.heartbeat, stopping: d.stopping, writer: w}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.timer = clock.AfterFunc(spacing, h.beat)
+	h.timer = h.clock.AfterFunc(h.spacing, h.beat)
+	h.ignoreStop = context.AfterFunc(d.stopping.told, h.beat)
 	return h
 }
 
@@ -58,6 +68,14 @@
 // announce writes an informational response at once. Later heartbeats repeat it.
 func (h *heartbeat) announce(progress string) {
 	h.writer.Header().Set(fleet.HeaderProgress, progress)
+	h.write()
+}
+
+// write writes an informational response. The caller holds mu.
+func (h *heartbeat) write() {
+	if left, stops := h.stopping.left(); stops {
+		h.writer.Header().Set(fleet.HeaderEnds, strconv.FormatInt(left.Milliseconds(), 10))
+	}
 	h.writer.WriteHeader(http.StatusProcessing)
 }
 
@@ -67,7 +85,9 @@
 	defer h.mu.Unlock()
 	h.stopped = true
 	h.writer.Header().Del(fleet.HeaderProgress)
+	h.writer.Header().Del(fleet.HeaderEnds)
 	h.timer.Stop()
+	h.ignoreStop()
 }
 
 func (h *heartbeat) beat() {
@@ -76,6 +96,6 @@
 	if h.stopped {
 		return
 	}
-	h.writer.WriteHeader(http.StatusProcessing)
+	h.write()
 	h.timer.Reset(h.spacing)
 }
--- a/dispatcher/offer.go
+++ b/dispatcher/offer.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	beats := startHeartbeat(w, d.clock, d.heartbeat)
+	beats := d.startHeartbeat(w)
 	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r}
 	outcome := a.reserve(ctx)
 	beats.stop()
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -12,14 +12,15 @@
 // server leaves.
 func (d *Dispatcher) Declined() int64 { return d.declined.Load() }
 
-// Stop tells that the node ends at a time. Until Drain, attempts are accepted that will most
-// likely be done by then.
-func (d *Dispatcher) Stop(end time.Time) {
+// Stop tells that the node stops and ends at a time. Until Drain, attempts are accepted that will
+// most likely be done when they are due. The ingresses of all attempts in flight are told the end.
+func (d *Dispatcher) Stop(due, end time.Time) {
+	d.stopping.stop(end)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.end = end
+	d.due = due
 	for _, g := range d.gates {
-		g.stop(end)
+		g.stop(due)
 	}
 }
 
@@ -38,7 +39,7 @@
 // HandBack ends the attempts in flight that may run again elsewhere: their ingresses learn that the
 // node stops. Those that end before the node does, which is at a time, go on.
 func (d *Dispatcher) HandBack(end time.Time) {
-	d.nodeEnd.Store(&end)
+	d.stopping.stop(end)
 	d.handBack()
 }
 
@@ -47,7 +48,7 @@
 func (a *attempt) withHandBack(ctx context.Context) (_ context.Context, release func()) {
 	ctx, end := context.WithCancelCause(ctx)
 	a.keep = context.AfterFunc(a.dispatcher.handingBack, func() {
-		if a.call.isHandedBack(a.dispatcher.clock.Now(), a.expectedEnd(), *a.dispatcher.nodeEnd.Load()) {
+		if a.call.isHandedBack(a.dispatcher.clock.Now(), a.expectedEnd(), a.dispatcher.stopping.end()) {
 			end(fleet.ErrStopped)
 		}
 	})
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -22,9 +22,9 @@
 		nodeEnd = after + 700*time.Millisecond
 	)
 	for name, tc := range map[string]struct {
-		idempotent, last string
-		usual, timeout   time.Duration
-		outcome          string
+		idempotent, last, follows string
+		usual, timeout            time.Duration
+		outcome                   string
 	}{
 		"it usually takes no time":        {idempotent: "true", timeout: 5 * time.Second, outcome: "unknown stopped"},
 		"it takes longer than usual":      {idempotent: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "unknown stopped"},
@@ -33,6 +33,7 @@
 		"it is expected to end before":    {idempotent: "true", usual: work, timeout: 5 * time.Second, outcome: "yes "},
 		"time, but no other attempt":      {idempotent: "true", last: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
 		"time, but it must not run again": {idempotent: "false", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
+		"its ingress finds the next one":  {idempotent: "true", follows: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -54,7 +55,7 @@
 			end := time.Now().Add(nodeEnd)
 			time.AfterFunc(after, func() { d.HandBack(end) })
 			answer := send(d, "r", "1", ticket, tc.idempotent, fleet.HeaderLastAttempt, tc.last,
-				fleet.HeaderTimeout, strconv.FormatInt(tc.timeout.Milliseconds(), 10))
+				fleet.HeaderFollows, tc.follows, fleet.HeaderTimeout, strconv.FormatInt(tc.timeout.Milliseconds(), 10))
 			is.Equal(outcome(answer), tc.outcome)
 		})
 	}
