Log which attempts a stopping node gave up

What was missing: the logs of a stop did not tell at which requests a backend server was still at work when its node ended, nor for how long the node had been stopping when it handed a request back. Reports of requests that were given up could not be traced to a moment of the stop.

Events of attempts that end while the node stops, as they were handed back or their ingress left, have the figure `stopping`. Figures and reasons that exist keep their names. A gate now holds the attempts in its slots in place of their identities.

--- a/dispatcher/admit.go
+++ b/dispatcher/admit.go
@@ -14,7 +14,7 @@
 	id, claimed := a.claim()
 	if !claimed {
 		var outcome fleet.Outcome
-		if id, outcome = a.gate.enter(ctx, a.call, beats.announceWaiting); outcome.Reason != "" {
+		if id, outcome = a.gate.enter(ctx, a, beats.announceWaiting); outcome.Reason != "" {
 			return id, outcome
 		}
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -49,7 +49,8 @@
 	if outcome.Reason != "" {
 		beats.stop()
 		if !a.call.noWait {
-			a.record(string(outcome.Reason), "", fleet.Milliseconds("waited", d.clock.Since(arrived)))
+			waited := fleet.Milliseconds("waited", d.clock.Since(arrived))
+			a.record(string(outcome.Reason), "", append([]fleet.Figure{waited}, a.stoppingFigures(outcome.Reason)...)...)
 		}
 		d.refuse(w, a.call, outcome, "the request was stopped before it was dispatched")
 		return
@@ -90,7 +91,8 @@
 		if r.outcome.Executed == fleet.ExecutedYes {
 			reason = strconv.Itoa(r.exchange.Response.StatusCode)
 		}
-		a.record(reason, r.message, fleet.Milliseconds("took", took), probability)
+		figures := append([]fleet.Figure{fleet.Milliseconds("took", took), probability}, a.stoppingFigures(r.outcome.Reason)...)
+		a.record(reason, r.message, figures...)
 	}
 	if changed != "" {
 		event := fleet.NewEvent(fleet.EventFailing, string(a.backend.ID), changed, probability)
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +28,8 @@
 	estimator *estimator.Estimator
 	// lastFailing is the state in the last recorded event.
 	lastFailing bool
-	// running holds the identities of the requests in slots.
-	running map[admitter.ID]string
+	// running holds the attempts in slots.
+	running map[admitter.ID]*attempt
 	// pause ends when the limit of the backend server allows the first queued request; nil
 	// while none waits for that.
 	pause clockwork.Timer
@@ -44,17 +46,17 @@
 		admitter:   admitter.New(slots, admitter.WithUsage(usage)),
 		slots:      slots,
 		waiters:    make(map[admitter.ID]chan admitter.Decision),
-		running:    make(map[admitter.ID]string),
+		running:    make(map[admitter.ID]*attempt),
 		limitSince: clock.Now(),
 	}
 }
 
 // enter waits for a slot and occupies it. It returns an outcome with a reason if the attempt
 // gets none. It calls onWait if the attempt has to wait.
-func (g *gate) enter(ctx context.Context, c call, onWait func()) (admitter.ID, fleet.Outcome) {
-	id, outcome := g.wait(ctx, c, onWait)
+func (g *gate) enter(ctx context.Context, a *attempt, onWait func()) (admitter.ID, fleet.Outcome) {
+	id, outcome := g.wait(ctx, a.call, onWait)
 	if outcome.Reason == "" {
-		g.occupy(id, c.identity)
+		g.occupy(id, a)
 	}
 	return id, outcome
 }
@@ -88,11 +90,11 @@
 	return id, refused(fleet.ContextReason(ctx))
 }
 
-// occupy records which request is in a slot.
-func (g *gate) occupy(id admitter.ID, identity string) {
+// occupy records which attempt is in a slot.
+func (g *gate) occupy(id admitter.ID, a *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running[id] = identity
+	g.running[id] = a
 }
 
 // leave frees a slot; took is 0 when the request did not run to its end.
@@ -211,12 +213,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	all := make([]string, 0, len(g.running))
-	for _, identity := range g.running {
-		all = append(all, identity)
+	for _, a := range g.running {
+		all = append(all, a.call.identity)
 	}
 	return all
 }
 
+// attempts returns the attempts in slots.
+func (g *gate) attempts() []*attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.running))
+}
+
 func (g *gate) arrive(c call) (admitter.ID, chan admitter.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/dispatcher/offer.go
+++ b/dispatcher/offer.go
@@ -94,6 +94,6 @@
 		return 0, false
 	}
 	a.call.retryCost = 0
-	held.gate.occupy(held.id, a.call.identity)
+	held.gate.occupy(held.id, a)
 	return held.id, true
 }
