Use the grace period of a node for work of other nodes

Cause: a stopping node ended everything 0.6 s before SIGKILL, as its own end needs that time: timers may be 0.5 s late, its callers need an answer, and its logs have to be written. Attempts of other nodes need none of it. What is at work for them at SIGKILL would have been broken off at the earlier end in any case.

Callers are served, answered and aborted as before. Where attempts of other nodes are at work after that, the shutdown waits for them until 0.1 s before SIGKILL, and the terminator moves its deadline once, only for them and only after callers' requests have been aborted.

Ruled out: to leave the end to SIGKILL. The lines that name what was at work would be lost.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,6 +70,8 @@
 	stop     Stop
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
+	// aborted is set once a shutdown has aborted callers' requests.
+	aborted atomic.Bool
 
 	// source holds the configuration when it does not come from the log service.
 	source adopter.Source
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -93,15 +93,16 @@
 	}
 }
 
-// close waits for connections in use and closes both servers, that of the peers once they
-// have been told that the node leaves: an attempt that meets the close would have an unknown outcome.
-func (s *servers) close(ctx context.Context, waitUntilTold func()) error {
+// closeCallers waits for callers' connections in use and closes their server.
+func (s *servers) closeCallers(ctx context.Context) error {
 	defer s.unused.closeSoon()()
-	err := s.callers.Shutdown(ctx)
-	waitUntilTold()
-	err = errors.Join(err, s.peers.Shutdown(ctx))
-	err = errors.Join(err, s.callers.Close(), s.peers.Close())
-	return errors.Join(err, s.callerListener.Wait(ctx))
+	return errors.Join(s.callers.Shutdown(ctx), s.callers.Close())
+}
+
+// closePeers waits for other nodes' connections in use and closes their server.
+func (s *servers) closePeers(ctx context.Context) error {
+	defer s.unused.closeSoon()()
+	return errors.Join(s.peers.Shutdown(ctx), s.peers.Close())
 }
 
 // newServer returns the server of a port. A new connection may be unused for as long as one in
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -44,10 +44,18 @@
 type GracePeriod struct {
 	// Linger is the time from the signal in which new requests are still accepted.
 	Linger time.Duration
-	// Shutdown is the longest time from the signal until the node ends.
+	// Shutdown is the longest time from the signal until the node ends, except for attempts of
+	// other nodes.
 	Shutdown time.Duration
+	// Extension is the longest time after that in which the node goes on while attempts of other
+	// nodes are at work.
+	Extension time.Duration
 }
 
+// reportTime is the time before the end of the node at which the attempts still at work are logged: the
+// process may be ended while it waits for them.
+const reportTime = 50 * time.Millisecond
+
 // gracePeriod returns the times in force.
 func (d *Daemon) gracePeriod() GracePeriod {
 	if d.grace == nil {
@@ -64,11 +72,15 @@
 	remaining := d.remaining(grace.Shutdown)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	longest := d.remaining(grace.Shutdown + grace.Extension)
+	end := d.clock.Now().Add(longest)
+	extended, cancelExtended := context.WithTimeout(context.Background(), longest)
+	defer cancelExtended()
+	d.stop.ExtendWhile(d.attemptsLeft)
 	d.leaving.Store(true)
 	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "work", d.work.Summary(), "within", remaining)
-	end := d.clock.Now().Add(remaining)
-	abort := d.clock.Now().Add(AbortAfter(remaining))
 	defer d.abortAfter(AbortAfter(remaining), end)()
+	abort := d.clock.Now().Add(AbortAfter(remaining))
 	d.forwarder.Stop(d.stoppingSince(), abort)
 	d.dispatcher.Stop(abort, end)
 	waited := d.waitFor("callers that go elsewhere")
@@ -84,11 +96,13 @@
 	defer await(ctx, left)
 	// net/http closes each connection behind its current answer once a server shuts down, so
 	// the answers to pipelined requests must be written before.
-	waitErr := d.work.Wait(ctx)
-	if waitErr != nil {
-		d.logger.Warn("unfinished", "node", d.self.ID, "work", d.work.Summary())
-	}
-	err := errors.Join(waitErr, s.close(ctx, func() { d.wait(ctx, departureTime-d.clock.Since(told)) }))
+	_ = d.work.Wait(ctx) // what is left is logged below
+	err := d.finish(ctx, drainer.Requests, drainer.Pipelined, drainer.Offers)
+	err = errors.Join(err, s.closeCallers(ctx), d.finishAttempts(extended, end))
+	// The other nodes have been told that this one leaves by then: an attempt that meets the close
+	// would have an unknown outcome.
+	d.wait(ctx, departureTime-d.clock.Since(told))
+	err = errors.Join(err, s.closePeers(extended), s.callerListener.Wait(ctx))
 	d.forwarder.Close()
 	d.dispatcher.Close()
 	if err == nil {
@@ -97,12 +111,46 @@
 	return &Error{Operation: "finish requests in flight", Kind: KindShutdown, Err: err}
 }
 
+// finish waits for work of some kinds, and logs what is left when ctx is done.
+func (d *Daemon) finish(ctx context.Context, kinds ...drainer.Kind) error {
+	err := d.work.Wait(ctx, kinds...)
+	if err != nil {
+		d.logger.Warn("unfinished", "node", d.self.ID, "work", d.work.Summary())
+	}
+	return err
+}
+
+// finishAttempts waits until no attempt of another node is at work, at most until the node ends. Its
+// callers have left by then, so what is given up at the end would have been given up before.
+func (d *Daemon) finishAttempts(ctx context.Context, end time.Time) error {
+	if d.attempts() == 0 {
+		return nil
+	}
+	defer d.waitFor("attempts of other nodes")()
+	waiting, cancel := context.WithTimeout(ctx, end.Sub(d.clock.Now())-reportTime)
+	defer cancel()
+	if d.work.Wait(waiting, drainer.Attempts, drainer.LateAttempts) == nil {
+		return nil
+	}
+	d.dispatcher.RecordUnfinished()
+	return d.finish(ctx, drainer.Attempts, drainer.LateAttempts)
+}
+
+// attempts returns the number of attempts in flight.
+func (d *Daemon) attempts() int {
+	return d.work.InFlight(drainer.Attempts) + d.work.InFlight(drainer.LateAttempts)
+}
+
+// attemptsLeft reports whether attempts are in flight and everything else has ended or was aborted.
+func (d *Daemon) attemptsLeft() bool { return d.aborted.Load() && d.attempts() > 0 }
+
 // abortAfter aborts callers' requests and hands back those of other nodes after a time, unless stop is called before.
 // The node ends at end.
 func (d *Daemon) abortAfter(duration time.Duration, end time.Time) (stop func()) {
 	timer := d.clock.AfterFunc(duration, func() {
 		d.forwarder.Abort()
 		d.dispatcher.HandBack(end)
+		d.aborted.Store(true)
 	})
 	return func() { timer.Stop() }
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -13,6 +13,9 @@
 type Stop interface {
 	SignalledAt() (at time.Time, signalled bool)
 	WaitingFor(what string)
+	// ExtendWhile has the process go on for as long as the grace period allows if atWork returns true
+	// when it would end.
+	ExtendWhile(atWork func() bool)
 }
 
 // noStop is a Stop that knows nothing.
@@ -24,6 +27,9 @@
 // WaitingFor does nothing.
 func (noStop) WaitingFor(string) {}
 
+// ExtendWhile does nothing.
+func (noStop) ExtendWhile(func() bool) {}
+
 // remaining returns what is left of a time that is counted from the arrival of the signal.
 func (d *Daemon) remaining(duration time.Duration) time.Duration {
 	at, signalled := d.stop.SignalledAt()
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -62,10 +62,16 @@
 	return d.closed[kind]
 }
 
-// Wait waits until no work of any closed kind is in flight.
-func (d *Drainer) Wait(ctx context.Context) error {
+// Wait waits until no work of these kinds, or of all without any, is in flight, as far as they are
+// closed.
+func (d *Drainer) Wait(ctx context.Context, waited ...Kind) error {
+	if len(waited) == 0 {
+		for kind := range kinds {
+			waited = append(waited, kind)
+		}
+	}
 	for {
-		left, finished := d.left()
+		left, finished := d.left(waited)
 		if left == 0 {
 			return nil
 		}
@@ -77,13 +83,13 @@
 	}
 }
 
-// left returns the amount of work of closed kinds, and a channel that is closed when one of
-// them has none left.
-func (d *Drainer) left() (count int, finished <-chan struct{}) {
+// left returns the amount of work of those kinds that are closed, and a channel that is closed when a
+// closed kind has none left.
+func (d *Drainer) left(waited []Kind) (count int, finished <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for kind, closed := range d.closed {
-		if closed {
+	for _, kind := range waited {
+		if d.closed[kind] {
 			count += d.inFlight[kind]
 		}
 	}
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -55,6 +55,10 @@
 			if err := d.Wait(ended); (err != nil) != (left > 0) {
 				t.Fatalf("wait with %d in flight: %v", left, err)
 			}
+			one := rapid.SampledFrom(allKinds).Draw(t, "waited")
+			if err := d.Wait(ended, one); (err != nil) != (closed[one] && inFlight[one] > 0) {
+				t.Fatalf("wait for %s with %d in flight, closed: %t: %v", one, inFlight[one], closed[one], err)
+			}
 		}
 	})
 }
