Offer the last attempt that a route allows as such

Cause: the offer of the next attempt was described with the mark of the present one, after which another is allowed. A stopping owner takes such attempts if three times their usual time is left, as they can move again. One that cannot has to fit 1.25 times the longest of its kind.

TestLastAttemptIsOfferedAsSuch failed before:

move_test.go:154: "" != "true"

Such a request stays at work where it is until another owner has a slot, or its owner ends.

--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -127,3 +127,31 @@
 		})
 	}
 }
+
+// TestLastAttemptIsOfferedAsSuch guards against the last run that a route allows at an owner that stops as
+// well: it takes such a request only if it will be done before its own node ends.
+func TestLastAttemptIsOfferedAsSuch(t *testing.T) {
+	for runs, last := range map[int]string{2: "true", 3: ""} {
+		t.Run(strconv.Itoa(runs), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r, _, _ := serveEnding(t, 1500*time.Millisecond, time.Hour, 0)
+			r.configure(configuration.WithRoute(fleet.Route{
+				Name: "bounded", Service: "ledger", Method: "GET", PathPrefix: "/bounded", Idempotent: true, Kind: "read", Weight: 1, MaxAttempts: runs,
+			}))
+			offers := make(chan string, 8)
+			next := r.addOwner("e", newLedger())
+			r.mu.Lock()
+			r.backends[1], r.backends[4] = r.backends[4], r.backends[1] // the picker takes the first
+			r.mu.Unlock()
+			r.servePeer(next, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				if q.URL.Path == dispatcher.OfferPath {
+					offers <- q.Header.Get(fleet.HeaderLastAttempt)
+				}
+				next.dispatcher.ServeOffer(w, q)
+			}))
+			sendRequest(t, r, "GET", "/bounded", "", fleet.HeaderTimeout, "9000")
+			is.Equal(<-offers, last)
+		})
+	}
+}
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -65,7 +65,9 @@
 	}
 	s, state := n.submission, n.state
 	s.retryCost = cost
+	state.ran++
 	state.candidates = f.directory.Backends(s.service)
+	s.lastAttempt = !f.allowsAnother(&s, &state, n.counted+1)
 	state.tried = slices.Clone(state.tried)
 	for range maxBudgetRefusals {
 		backend, found := f.selectOther(&s, &state)
