Send a request again whose idle connection was dropped

Each was reset at once on an idle connection; the owner probed whether its backend server had crashed (60 ms), told its ingress that the outcome is unknown, and three owners without retry budget refused another attempt.

Cause: a reset on a connection that was idle is a sign that it was dropped, not that the backend server failed, but the owner passed it on like any failure. The owner now sends such a request again itself, once, if it may run twice and another run is allowed. The connection was given up and those idle for as long expire, so the second one goes over a new one. Requests that must run once still end with an unknown outcome.

Evidence: TestRequestOnADroppedConnectionIsSentAgain failed before:

dropped_test.go:58: unknown broken != yes

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -124,14 +124,10 @@
 
 // run sends the request to the backend server and buffers its answer up to the bound.
 func (a *attempt) run(ctx context.Context) *result {
-	exchange, err := a.dispatcher.pooler.Send(ctx, pooler.Message{
-		Address: a.backend.Address,
-		ID:      string(a.call.request),
-		Echo:    a.dispatcher.echoHeader(),
-		Request: a.outgoing(ctx),
-		Content: a.content,
-		OnStall: a.abandonSilent,
-	})
+	exchange, err := a.send(ctx)
+	if err != nil && exchange.Dropped && a.call.repeatable() && ctx.Err() == nil {
+		exchange, err = a.send(ctx)
+	}
 	if err != nil {
 		return a.failed(ctx, exchange, err)
 	}
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -18,6 +18,9 @@
 	// Ended is set when the recipient closed the connection in order, directly after an
 	// informational response: nothing that it sent was lost.
 	Ended bool
+	// Dropped is set when the recipient seems to have dropped the connection while it was idle. The
+	// request most likely did not run, which is no proof.
+	Dropped bool
 	// Opened is when the connection was opened.
 	Opened time.Time
 
--- a/pooler/idle.go
+++ b/pooler/idle.go
@@ -48,12 +48,13 @@
 
 // recordFailure records the failure of a request that was sent, and returns the error with the idle
 // time if the connection was dropped.
-func (p *Pooler) recordFailure(m Message, r reuse, err error) error {
+func (p *Pooler) recordFailure(m Message, e *Exchange, r reuse, err error) error {
 	if r.conn == nil || r.conn.reads.Load() != r.reads || !r.conn.wasEnded(err) ||
 		!p.expirer.RecordReset(m.Address, r.idle, p.clock.Since(r.began)) {
 		return err
 	}
 	p.dropped.Inc(1)
+	e.Dropped = true
 	return fmt.Errorf("dropped after %s idle: %w", r.idle.Round(time.Millisecond), err)
 }
 
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -222,7 +222,7 @@
 		exchange.Ended = used.endedAfterHead() && !used.strays.strayedIn(exchange.turn)
 	}
 	if exchange.Sent {
-		err = p.recordFailure(m, again, err)
+		err = p.recordFailure(m, exchange, again, err)
 	}
 	if errors.Is(err, errHeads) {
 		p.headless.Inc(1)
