--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -12,8 +12,8 @@
 	// trip between zones and a short request, as for owners.
 	minRetryTime = 100 * time.Millisecond
 	// searchTime is the time before the end of the owner's node from which a slot for the next attempt
-	// is looked for. In it, owners that are full or stop are asked four times.
-	searchTime = 1400 * time.Millisecond
+	// is looked for. In it, owners that are full or stop are asked three times.
+	searchTime = 1050 * time.Millisecond
 	// minAnswerTime is the least time for which the answer of an ended process is waited for.
 	minAnswerTime = time.Second
 )
