Search for a slot with offers, and only for what may still run

A reserved slot was remembered for ever, so that an attempt at work could be given up in a later silence for one that had lapsed. A search also went on after refusals that allow no other attempt (a suspect's, two lost owners), sent requests that backend servers reject again without a charge, and a planned end behind a silent path, or in the body of an answer, was taken for a failure.

A reservation counts for 0.4 s, of the 0.5 s that owners keep it. A request that kills its owners waits as before where one has ended. A stopping node without attempts of others closes its peers' port as early as before.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -14,6 +14,8 @@
 	// searchTime is the time before the end of the owner's node from which a slot for the next attempt
 	// is looked for. In it, owners that are full or stop are asked three times.
 	searchTime = 1050 * time.Millisecond
+	// slotTime is how long a reserved slot is relied on: owners hold it for 0.5 s.
+	slotTime = 400 * time.Millisecond
 	// minAnswerTime is the least time for which the answer of an ended process is waited for.
 	minAnswerTime = time.Second
 )
@@ -29,6 +31,7 @@
 	answer     Answer
 	refusedAt  time.Time
 	search     SlotSearch
+	reservedAt time.Time
 	ending     Ending
 }
 
@@ -68,7 +71,7 @@
 	return a.WithNewSearch()
 }
 
-// WithNewSearch returns a copy for which a slot is looked for afresh.
+// WithNewSearch returns a copy for which a slot is looked for afresh, unless one is reserved.
 func (a Attempt) WithNewSearch() Attempt {
 	if a.search != SlotReserved {
 		a.search = NotSearched
@@ -85,9 +88,9 @@
 	return a
 }
 
-// WithSearch returns a copy with the result of the search for a slot.
-func (a Attempt) WithSearch(search SlotSearch) Attempt {
-	a.search = search
+// WithSearch returns a copy with the result of the search for a slot at a time.
+func (a Attempt) WithSearch(search SlotSearch, at time.Time) Attempt {
+	a.search, a.reservedAt = search, at
 	return a
 }
 
@@ -112,7 +115,7 @@
 	case a.timeouts >= askAfter:
 		return a.nextInSilence(now)
 	case a.timeouts == 0 && a.mustMove(now):
-		return a.nextInSearch()
+		return a.nextInSearch(now)
 	default:
 		return Wait
 	}
@@ -136,10 +139,10 @@
 		return Drop
 	case a.answer == Ended && a.isUnanswered(now):
 		return Drop
-	case !a.mayFollow(now) || a.lastLoss && a.answer == Unreachable:
+	case !a.mayFollow(now) || a.lastLoss && a.answer != NotSealed:
 		return Wait
 	default:
-		return a.nextInSearch()
+		return a.nextInSearch(now)
 	}
 }
 
@@ -150,21 +153,26 @@
 	return now.Sub(a.refusedAt) >= max(minAnswerTime, a.refusedAt.Sub(a.progressAt))
 }
 
-func (a Attempt) nextInSearch() Step {
-	switch a.search {
-	case NotSearched:
-		return Reserve
-	case SlotReserved:
+func (a Attempt) nextInSearch(now time.Time) Step {
+	switch {
+	case a.hasSlot(now):
 		return Move
-	default:
+	case a.search == NoSlot:
 		return Wait
+	default:
+		return Reserve
 	}
 }
 
+// hasSlot reports whether the slot of the next attempt is still reserved.
+func (a Attempt) hasSlot(now time.Time) bool {
+	return a.search == SlotReserved && now.Sub(a.reservedAt) < slotTime
+}
+
 // afterEnd returns what follows an attempt that ended without an answer.
 func (a Attempt) afterEnd(now time.Time) Step {
 	switch {
-	case a.search == SlotReserved:
+	case a.hasSlot(now):
 		return Move
 	case a.ending == NodeEnded && a.mayFollow(now):
 		return Search
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -42,10 +42,11 @@
 		"repeatable, ended long ago":  {repeatable(2).WithAnswer(arbiter.Ended, start.Add(-time.Second)), arbiter.Drop},
 		"repeatable, may run":         {repeatable(2).WithAnswer(arbiter.NotSealed, start), arbiter.Reserve},
 		"repeatable, unreachable":     {repeatable(2).WithAnswer(arbiter.Unreachable, start), arbiter.Reserve},
-		"slot reserved":               {repeatable(2).WithAnswer(arbiter.NotSealed, start).WithSearch(arbiter.SlotReserved), arbiter.Move},
-		"no slot":                     {repeatable(20).WithAnswer(arbiter.Unreachable, start).WithSearch(arbiter.NoSlot), arbiter.Wait},
+		"slot reserved":               {repeatable(2).WithAnswer(arbiter.NotSealed, start).WithSearch(arbiter.SlotReserved, start), arbiter.Move},
+		"no slot":                     {repeatable(20).WithAnswer(arbiter.Unreachable, start).WithSearch(arbiter.NoSlot, start), arbiter.Wait},
 		"no time for another":         {late.WithAnswer(arbiter.NotSealed, start), arbiter.Wait},
 		"second lost owner":           {lastLoss.WithAnswer(arbiter.Unreachable, start), arbiter.Wait},
+		"second lost owner, ended":    {lastLoss.WithAnswer(arbiter.Ended, start), arbiter.Wait},
 		"second lost owner, answered": {lastLoss.WithAnswer(arbiter.NotSealed, start), arbiter.Reserve},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -75,9 +76,9 @@
 	is.Equal(a.Next(end.Add(-1050*time.Millisecond-1)), arbiter.Wait)
 	late := end.Add(-1050 * time.Millisecond)
 	is.Equal(a.Next(late), arbiter.Reserve)
-	is.Equal(a.WithSearch(arbiter.NoSlot).Next(late), arbiter.Wait)
-	is.Equal(a.WithSearch(arbiter.NoSlot).WithNewSearch().Next(late), arbiter.Reserve)
-	is.Equal(a.WithSearch(arbiter.SlotReserved).WithNewSearch().Next(late), arbiter.Move)
+	is.Equal(a.WithSearch(arbiter.NoSlot, late).Next(late), arbiter.Wait)
+	is.Equal(a.WithSearch(arbiter.NoSlot, late).WithNewSearch().Next(late), arbiter.Reserve)
+	is.Equal(a.WithSearch(arbiter.SlotReserved, late).WithNewSearch().Next(late), arbiter.Move)
 	is.Equal(a.WithDeadline(end).Next(late), arbiter.Wait) // its deadline comes first
 	is.Equal(arbiter.New(start, start.Add(time.Minute)).WithNodeEnd(end).Next(late), arbiter.Wait)
 }
@@ -88,8 +89,23 @@
 	is := is.New(t)
 	a := arbiter.New(start, start.Add(time.Second)).WithRepeatable(false).WithEnding(arbiter.NodeEnded)
 	is.Equal(a.Next(start), arbiter.Search)
-	is.Equal(a.WithSearch(arbiter.SlotReserved).Next(start), arbiter.Move)
+	is.Equal(a.WithSearch(arbiter.SlotReserved, start).Next(start), arbiter.Move)
 	is.Equal(a.Next(start.Add(950*time.Millisecond)), arbiter.Drop)
 	is.Equal(a.WithEnding(arbiter.Failed).Next(start), arbiter.Drop)
 	is.Equal(arbiter.New(start, start.Add(time.Second)).WithEnding(arbiter.NodeEnded).Next(start), arbiter.Drop)
 }
+
+// TestLapsedSlotIsNotMovedTo guards against an attempt at work that is given up for a slot which was reserved
+// in an earlier silence.
+func TestLapsedSlotIsNotMovedTo(t *testing.T) {
+	is := is.New(t)
+	a := arbiter.New(start, start.Add(time.Minute)).WithRepeatable(false).WithSilence(2).
+		WithAnswer(arbiter.NotSealed, start).WithSearch(arbiter.SlotReserved, start)
+	is.Equal(a.Next(start.Add(400*time.Millisecond-1)), arbiter.Move)
+	is.Equal(a.Next(start.Add(400*time.Millisecond)), arbiter.Reserve)
+	back := a.WithProgress(start.Add(time.Second)).WithNewSearch()
+	is.Equal(back.Next(start.Add(time.Second)), arbiter.Wait)
+	again := start.Add(10 * time.Second)
+	is.Equal(back.WithSilence(2).WithAnswer(arbiter.Unreachable, again).Next(again), arbiter.Reserve)
+	is.Equal(back.WithNodeEnd(again.Add(time.Second)).Next(again), arbiter.Reserve)
+}
--- a/arbiter/orders_test.go
+++ b/arbiter/orders_test.go
@@ -101,7 +101,7 @@
 			case arbiter.Ask:
 				attempt = attempt.WithAnswer(o.ask(now), at)
 			case arbiter.Reserve:
-				attempt = attempt.WithSearch(o.reserve(now))
+				attempt = attempt.WithSearch(o.reserve(now), at)
 			case arbiter.Move:
 				return told{now, moved}
 			case arbiter.Drop:
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -98,11 +98,16 @@
 	// the answers to pipelined requests must be written before.
 	_ = d.work.Wait(ctx) // what is left is logged below
 	err := d.finish(ctx, drainer.Requests, drainer.Pipelined, drainer.Offers)
-	err = errors.Join(err, s.closeCallers(ctx), d.finishAttempts(extended, end))
+	err = errors.Join(err, s.closeCallers(ctx))
+	closing := ctx
+	if d.attempts() > 0 {
+		closing = extended
+		err = errors.Join(err, d.finishAttempts(extended, end))
+	}
 	// The other nodes have been told that this one leaves by then: an attempt that meets the close
 	// would have an unknown outcome.
 	d.wait(ctx, departureTime-d.clock.Since(told))
-	err = errors.Join(err, s.closePeers(extended), s.callerListener.Wait(ctx))
+	err = errors.Join(err, s.closePeers(closing), s.callerListener.Wait(ctx))
 	d.forwarder.Close()
 	d.dispatcher.Close()
 	if err == nil {
@@ -123,9 +128,6 @@
 // finishAttempts waits until no attempt of another node is at work, at most until the node ends. Its
 // callers have left by then, so what is given up at the end would have been given up before.
 func (d *Daemon) finishAttempts(ctx context.Context, end time.Time) error {
-	if d.attempts() == 0 {
-		return nil
-	}
 	defer d.waitFor("attempts of other nodes")()
 	waiting, cancel := context.WithTimeout(ctx, end.Sub(d.clock.Now())-reportTime)
 	defer cancel()
--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -21,7 +21,7 @@
 
 // handleProgress reports whether an attempt whose owner gives signs of life is given up for the next one.
 func (f *Forwarder) handleProgress(ctx context.Context, d *delivery) bool {
-	d.update(arbiter.Attempt.WithNewSearch)
+	d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithProgress(f.clock.Now()).WithNewSearch() })
 	return f.decide(ctx, d)
 }
 
@@ -41,8 +41,11 @@
 			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithAnswer(answer, f.clock.Now()) })
 		case arbiter.Reserve:
 			search := f.reserveSlot(ctx, d)
-			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithSearch(search) })
-		case arbiter.Move, arbiter.Drop:
+			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithSearch(search, f.clock.Now()) })
+		case arbiter.Move:
+			d.successor.Store(d.reserved)
+			return true
+		case arbiter.Drop:
 			return true
 		default:
 			return false
@@ -57,11 +60,10 @@
 	if _, stopping := d.ownerStopping(); stopping {
 		reason = fleet.ReasonStopped
 	}
-	next := f.reserveNext(ctx, d.succession, reason)
-	if next == nil {
+	d.reserved = f.reserveNext(ctx, d.succession, reason)
+	if d.reserved == nil {
 		return arbiter.NoSlot
 	}
-	d.successor.Store(next)
 	return arbiter.SlotReserved
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -88,7 +88,11 @@
 	if answered := exchange.Response.Header.Get(fleet.HeaderRequestID); answered != string(s.id) {
 		return f.misanswered(ctx, d, exchange, answered)
 	}
-	return f.received(ctx, s, backend, exchange)
+	r := f.received(ctx, s, backend, exchange)
+	if r.brokenInBody {
+		r.outcome.Reason = f.plannedReason(d, r.outcome.Reason)
+	}
+	return r
 }
 
 // handleSendFailure puts a node into backoff if no connection to it could be made or
@@ -173,7 +177,9 @@
 		if ctx.Err() != nil {
 			return unknown(fleet.ContextReason(ctx), err.Error())
 		}
-		return unknown(fleet.ReasonBroken, err.Error())
+		r := unknown(fleet.ReasonBroken, err.Error())
+		r.brokenInBody = true
+		return r
 	}
 	r := &result{
 		outcome:  fleet.Outcome{Executed: fleet.ExecutedYes},
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/retrier"
 )
 
 // attemptState is the state of the attempts of one submission.
@@ -73,7 +74,7 @@
 // isRefusedInSearch reports whether an owner refused the attempt that takes the place of one at work. The
 // retry is charged already.
 func (a *attemptState) isRefusedInSearch(last *result) bool {
-	return a.displaced && !last.reached && last.outcome.Executed == fleet.ExecutedNo
+	return a.displaced && !last.reached && last.outcome.Executed == fleet.ExecutedNo && retrier.Repeatable(last.outcome, true)
 }
 
 // searchAgain forgets the refusals, so that all backend servers are asked again at which none of the
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -23,7 +23,10 @@
 	// succession finds the attempt that follows if this one is given up although it may run; nil if
 	// none may.
 	succession *succession
-	// successor is that attempt, once a slot is reserved for it.
+	// reserved is that attempt while a slot is reserved for it; nil if none is. Only the goroutine that
+	// decides uses it.
+	reserved *successor
+	// successor is that attempt once this one is given up for it.
 	successor atomic.Pointer[successor]
 	// waiting is set while the last that the owner told is that the attempt waits, and that
 	// it will tell before it dispatches it.
--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -61,11 +61,11 @@
 
 // serveEnding returns a rig whose first owner ends after a time, and whose others have no free slot until another.
 func serveEnding(t *testing.T, ends, work, free time.Duration) (*rig, *endingOwner, *ledger) {
-	r, other := newRig(t, forwarder.WithRetrier(noBudget())), newLedger()
+	r, other := newRig(t, forwarder.WithRetrier(noBudget()), forwarder.WithNoWaitAttempts(3)), newLedger()
 	now := time.Now()
 	ending := &endingOwner{end: now.Add(ends), work: work}
 	r.servePeer(r.addOwner("a", newLedger()), ending)
-	for _, name := range []string{"b", "c", "d"} {
+	for _, name := range []string{"b", "c", "d", "f", "g", "h", "i", "j"} {
 		o := r.addOwner(name, other)
 		r.servePeer(o, busyUntil(now.Add(free), peerHandler(o.dispatcher)))
 	}
@@ -94,7 +94,7 @@
 func TestRequestIsAnsweredThoughItsOwnerEndsWhileOthersAreFull(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	r, _, other := serveEnding(t, 500*time.Millisecond, time.Hour, 2*time.Second)
+	r, _, other := serveEnding(t, 500*time.Millisecond, time.Hour, 6*time.Second)
 	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "searched", fleet.HeaderTimeout, "9000")
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(other.count("searched"), 1)
@@ -142,7 +142,8 @@
 			offers := make(chan string, 8)
 			next := r.addOwner("e", newLedger())
 			r.mu.Lock()
-			r.backends[1], r.backends[4] = r.backends[4], r.backends[1] // the picker takes the first
+			end := len(r.backends) - 1
+			r.backends[1], r.backends[end] = r.backends[end], r.backends[1] // the picker takes the first
 			r.mu.Unlock()
 			r.servePeer(next, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 				if q.URL.Path == dispatcher.OfferPath {
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -26,24 +26,31 @@
 	if !exchange.Sent {
 		return refused(reason, err.Error())
 	}
-	stopping, told := d.ownerStopping()
-	if reason == fleet.ReasonBroken && (told || f.hasLeft(d.owner)) {
-		reason = fleet.ReasonStopped
-	}
 	if reason == fleet.ReasonStalled {
 		f.renew(d)
 	}
+	reason = f.plannedReason(d, reason)
 	if reason == fleet.ReasonCancelled && !d.submission.granted {
 		return unknown(reason, "the caller left")
 	}
 	r := f.prove(ctx, d, exchange, unknown(reason, err.Error()))
-	r.ownerStopping = stopping
+	r.ownerStopping, _ = d.ownerStopping()
 	if reason == fleet.ReasonStalled || reason == fleet.ReasonStopped {
 		r.successor = d.successor.Load()
 	}
 	return r
 }
 
+// plannedReason returns ReasonStopped for a failure that comes of the planned end of the owner's node, else
+// the reason.
+func (f *Forwarder) plannedReason(d *delivery, reason fleet.Reason) fleet.Reason {
+	_, told := d.ownerStopping()
+	if (reason == fleet.ReasonBroken || reason == fleet.ReasonStalled) && (told || f.hasLeft(d.owner)) {
+		return fleet.ReasonStopped
+	}
+	return reason
+}
+
 // misanswered returns the result of an attempt that was answered as another request, or by
 // a server that is no owner.
 func (f *Forwarder) misanswered(ctx context.Context, d *delivery, exchange *pooler.Exchange, answered string) *result {
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -23,6 +23,8 @@
 	reached bool
 	// noWaitRefused is set when the owner had no free slot for a no-wait attempt.
 	noWaitRefused bool
+	// brokenInBody is set when the owner's connection ended in the body of an answer.
+	brokenInBody bool
 	// ownerStopping is how long the owner's node had been stopping; 0 if it has not told that it does.
 	ownerStopping time.Duration
 	// successor is the next attempt if a slot is reserved for it.
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -35,7 +35,8 @@
 	n := &succession{submission: *s, state: *state, number: number + 1, counted: number - state.declined(), started: f.clock.Now()}
 	n.submission.retryCost, n.submission.succession = 0, nil
 	n.state.tried = append(slices.Clone(state.tried), backend.ID)
-	n.state.failing, n.state.leaving = slices.Clone(state.failing), slices.Clone(state.leaving)
+	// Owners that stopped then may have started again.
+	n.state.failing, n.state.leaving = slices.Clone(state.failing), nil
 	return n
 }
 
@@ -66,24 +67,32 @@
 	s, state := n.submission, n.state
 	s.retryCost = cost
 	state.ran++
-	state.candidates = f.directory.Backends(s.service)
-	s.lastAttempt = !f.allowsAnother(&s, &state, n.counted+1)
 	state.tried = slices.Clone(state.tried)
+	next := f.offerOthers(ctx, &s, &state, n.number)
+	if next != nil && cost == 0 && !f.chargeNext(failed) {
+		return nil
+	}
+	return next
+}
+
+// offerOthers offers the attempt with this number to other owners that are likely to have a free slot, and
+// returns it if one has reserved a slot; else nil.
+func (f *Forwarder) offerOthers(ctx context.Context, s *submission, state *attemptState, number int) *successor {
+	state.candidates = f.directory.Backends(s.service)
+	s.lastAttempt = !f.allowsAnother(s, state, state.ran)
 	for range maxBudgetRefusals {
-		backend, found := f.selectOther(&s, &state)
+		backend, found := f.selectOther(s, state)
 		if !found {
 			return nil
 		}
 		state.tried = append(state.tried, backend.ID)
-		charged, reserved := f.offerNext(ctx, &s, backend, n.number)
+		charged, reserved := f.offerNext(ctx, s, backend, number)
 		switch {
 		case !reserved:
-		case cost == 0 && !f.chargeNext(failed):
-			return nil
 		case charged:
 			return &successor{backend: backend}
 		default:
-			return &successor{backend: backend, retryCost: cost}
+			return &successor{backend: backend, retryCost: s.retryCost}
 		}
 	}
 	return nil
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -36,7 +36,7 @@
 		state.candidates = f.directory.Backends(s.service)
 		backend, mode, found := f.selectBackend(s, state)
 		if !found {
-			if f.waitForSlot(ctx, s, state, number) {
+			if f.findSlot(ctx, s, state, last, number) {
 				continue
 			}
 			return state.bestResult(state.failureToReport(f.noBackendResult(s, last)))
@@ -52,7 +52,7 @@
 		state.recordAttempt(backend, last)
 		f.recordRefusal(s, backend, last)
 		if !f.mayGoOn(ctx, s, state, number, last) {
-			if f.waitForSlot(ctx, s, state, number) {
+			if f.findSlot(ctx, s, state, last, number) {
 				continue
 			}
 			return state.bestResult(state.failureToReport(last))
@@ -67,6 +67,9 @@
 // mayGoOn reports whether another attempt follows the last one, which has this number.
 func (f *Forwarder) mayGoOn(ctx context.Context, s *submission, state *attemptState, number int, last *result) bool {
 	counted := number - state.declined()
+	if state.displaced && last.outcome.Executed == fleet.ExecutedUnknown {
+		counted = state.ran // no refusal before uses up an attempt that a planned stop has ended
+	}
 	switch {
 	case state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals:
 		return false
