Keep a request where it is that would be too late elsewhere

Cause: the move asked whether there is time for any attempt, not for this one. A request that has run for 5 s needs at least that again, unless its backend server is slow. It stays now if less time is left than it has taken, and is searched a slot for once its owner has ended.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -22,6 +22,7 @@
 
 // Attempt is what is known about an attempt. The zero value is one that was just sent.
 type Attempt struct {
+	sent       time.Time
 	deadline   time.Time
 	repeatable bool
 	lastLoss   bool
@@ -36,7 +37,7 @@
 }
 
 // New returns an attempt that was sent at a time and has a deadline.
-func New(sent, deadline time.Time) Attempt { return Attempt{deadline: deadline, progressAt: sent} }
+func New(sent, deadline time.Time) Attempt { return Attempt{sent: sent, deadline: deadline, progressAt: sent} }
 
 // WithDeadline returns a copy with another deadline.
 func (a Attempt) WithDeadline(deadline time.Time) Attempt {
@@ -121,9 +122,11 @@
 	}
 }
 
-// mustMove reports whether the owner's node is about to end before the attempt has to.
+// mustMove reports whether the owner's node is about to end before the attempt has to, and another attempt
+// has at least the time that this one has taken: it begins anew.
 func (a Attempt) mustMove(now time.Time) bool {
-	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime))
+	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime)) &&
+		a.deadline.Sub(now) >= now.Sub(a.sent)
 }
 
 // mayFollow reports whether another attempt may follow this one, and can be in time.
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -109,3 +109,16 @@
 	is.Equal(back.WithSilence(2).WithAnswer(arbiter.Unreachable, again).Next(again), arbiter.Reserve)
 	is.Equal(back.WithNodeEnd(again.Add(time.Second)).Next(again), arbiter.Reserve)
 }
+
+// TestAttemptStaysThatWouldBeTooLateElsewhere guards against a request that would end before its owner's node
+// and begins anew at another owner, with less time left than it has taken so far.
+func TestAttemptStaysThatWouldBeTooLateElsewhere(t *testing.T) {
+	is := is.New(t)
+	end := start.Add(6 * time.Second)
+	late := end.Add(-time.Second)
+	a := arbiter.New(start, start.Add(10*time.Second)).WithRepeatable(false).WithNodeEnd(end)
+	is.Equal(a.Next(late), arbiter.Reserve)
+	is.Equal(a.WithDeadline(start.Add(10*time.Second-1)).Next(late), arbiter.Wait)
+	ended := a.WithDeadline(start.Add(10*time.Second - 1)).WithEnding(arbiter.NodeEnded)
+	is.Equal(ended.Next(end), arbiter.Search) // it may be faster elsewhere
+}
