--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -37,7 +37,9 @@
 }
 
 // New returns an attempt that was sent at a time and has a deadline.
-func New(sent, deadline time.Time) Attempt { return Attempt{sent: sent, deadline: deadline, progressAt: sent} }
+func New(sent, deadline time.Time) Attempt {
+	return Attempt{sent: sent, deadline: deadline, progressAt: sent}
+}
 
 // WithDeadline returns a copy with another deadline.
 func (a Attempt) WithDeadline(deadline time.Time) Attempt {
@@ -104,9 +106,6 @@
 // Stopping reports whether the owner has told that its node stops.
 func (a Attempt) Stopping() bool { return !a.nodeEnd.IsZero() }
 
-// NodeEnd returns when the owner's node ends; zero if it has not told.
-func (a Attempt) NodeEnd() time.Time { return a.nodeEnd }
-
 // Next returns the next step. An attempt is given up only if nothing is lost by it: it did not run,
 // its answer cannot come, or a slot is reserved for the next one.
 func (a Attempt) Next(now time.Time) Step {
