Log the searches for a slot that a planned stop causes

Why a request whose owner's node ends it found no other owner could not be told from the logs: the offers that others refused were in no line. A line for each search tells whether a slot was reserved, how many offers were refused, and the time left. It distinguishes a search that began too late from one in which all others were full.

--- a/explainer/text.go
+++ b/explainer/text.go
@@ -84,6 +84,7 @@
 	fleet.EventRequest:               "returned the answer to %, with status",
 	fleet.EventAttempt:               "could not answer an attempt of % as usual",
 	fleet.EventAbandoned:             "gave up an attempt of % that may have run",
+	fleet.EventSearch:                "looked for a slot for the next attempt of %",
 	fleet.EventFailing:               "changed its evaluation of %",
 	fleet.EventLimit:                 "changed the limit of %",
 	fleet.EventReachability:          "recorded a new state of the path to %",
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -49,6 +49,8 @@
 	EventAttempt EventKind = "attempt"
 	// EventAbandoned is an attempt that may have run and that its ingress waits for no more.
 	EventAbandoned EventKind = "abandoned"
+	// EventSearch is a search for a slot for the attempt that follows one which a planned stop ends.
+	EventSearch EventKind = "search"
 	// EventFailing is a backend server that its owner begins or ceases to suspect of failing.
 	EventFailing EventKind = "doubt"
 	// EventLimit is a backend server that names a limit for its requests, changes it, or names
--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -87,6 +87,7 @@
 	is.Equal(ending.attempts.Load(), int32(1))
 	is.True(took > free-50*time.Millisecond)
 	is.True(took < 2500*time.Millisecond) // before the owner's node ended
+	is.Equal(r.recorded(fleet.EventSearch, "moved", "reserved"), 1)
 }
 
 // TestRequestIsAnsweredThoughItsOwnerEndsWhileOthersAreFull guards against an answer of the ingress's own at
@@ -98,6 +99,7 @@
 	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "searched", fleet.HeaderTimeout, "9000")
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(other.count("searched"), 1)
+	is.True(r.recorded(fleet.EventSearch, "searched", "none") >= 1)
 }
 
 // TestRequestThatEndsBeforeItsOwnerStaysThere guards against a second run of a request that is answered in
--- a/forwarder/rig_test.go
+++ b/forwarder/rig_test.go
@@ -190,6 +190,18 @@
 	r.events = append(r.events, e)
 }
 
+// recorded returns the number of events of a kind, with a subject and a reason.
+func (r *rig) recorded(kind fleet.EventKind, subject, reason string) (count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.events {
+		if e.Kind == kind && e.Subject == subject && e.Reason == reason {
+			count++
+		}
+	}
+	return count
+}
+
 // owner is one node with its backend server.
 type owner struct {
 	mu         sync.Mutex
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -9,6 +9,12 @@
 	"cowsliptally.example/cowsliptally/retrier"
 )
 
+// The results of a search for a slot in its event.
+const (
+	searchReserved = "reserved"
+	searchNone     = "none"
+)
+
 // succession is what is needed to find the attempt that follows the present one. It is a copy of
 // the submission's state at the start of the attempt, which is read while the attempt goes on.
 type succession struct {
@@ -80,24 +86,37 @@
 func (f *Forwarder) offerOthers(ctx context.Context, s *submission, state *attemptState, number int) *successor {
 	state.candidates = f.directory.Backends(s.service)
 	s.lastAttempt = !f.allowsAnother(s, state, state.ran)
+	refused := 0
 	for range maxBudgetRefusals {
 		backend, found := f.selectOther(s, state)
 		if !found {
-			return nil
+			break
 		}
 		state.tried = append(state.tried, backend.ID)
 		charged, reserved := f.offerNext(ctx, s, backend, number)
-		switch {
-		case !reserved:
-		case charged:
+		if !reserved {
+			refused++
+			continue
+		}
+		f.recordSearch(s, searchReserved, number, refused)
+		if charged {
 			return &successor{backend: backend}
-		default:
-			return &successor{backend: backend, retryCost: s.retryCost}
 		}
+		return &successor{backend: backend, retryCost: s.retryCost}
 	}
+	f.recordSearch(s, searchNone, number, refused)
 	return nil
 }
 
+// recordSearch records the result of a search for a slot for the attempt with this number.
+func (f *Forwarder) recordSearch(s *submission, result string, number, refused int) {
+	f.recorder.Record(fleet.NewEvent(fleet.EventSearch, string(s.id), result,
+		fleet.Figure{Name: "attempt", Value: float64(number)},
+		fleet.Figure{Name: "refused", Value: float64(refused)},
+		fleet.Milliseconds("left", s.deadline.Sub(f.clock.Now())),
+	).WithService(s.service))
+}
+
 // chargeNext charges a retry to this node's budget. What was left when it was offered may be used
 // up by now; the slot is then free again after a while.
 func (f *Forwarder) chargeNext(failed retrier.Attempt) bool {
