Offer no late run to a stopping owner while others have a slot

What callers saw: 504 for a GET on a route of 5 s, at which an owner that was told to stop 0.95 s to 2.5 s before had begun to work: its node ended 3.4 s to 4.9 s later with the run, and what was left of the 5 s was too short for another one.

Cause: a stopping owner took a request that may run again if three times the usual time of its kind was left. It did not ask what is left for another run if that is not enough. Ruled out that the other owners were full: in the test the other one has a slot for each request.

An owner whose node stops now refuses a no-wait attempt as if it had no slot if the request could have less time left than it has taken when it has to move. If the ingress finds no free slot elsewhere, its queued attempt is admitted as before, so that backend servers of stopping nodes stay in use.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -80,6 +80,9 @@
 		return []Decision{refusal(r.ID, fleet.ReasonDeadline)}
 	}
 	decisions := a.expire(now)
+	if a.isBetterElsewhere(r, now) {
+		return append(decisions, refusal(r.ID, fleet.ReasonBusy))
+	}
 	if a.stop.retired {
 		return append(decisions, a.arriveSingle(r, now))
 	}
--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowsliptally.example/cowsliptally/arbiter"
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
@@ -21,7 +22,9 @@
 // callers to move and for long requests. A backend server that got nothing all that time would
 // be missed, and one that got everything would run requests that are cut when its node ends.
 type stop struct {
-	// end is when the node ends; zero while it does not stop.
+	// due is when requests have to be done; zero while the node does not stop.
+	due time.Time
+	// end is when the node ends those that are not.
 	end time.Time
 	// retired is set once only one request at a time is admitted.
 	retired bool
@@ -29,11 +32,12 @@
 	single ID
 }
 
-// Stop tells that the node ends at a time. From now on, only requests are admitted that have time
-// left: for the longest of their kind, or, if they may run again elsewhere, for several times the
-// usual. Queued ones that have not are refused, so that they can go elsewhere.
-func (a *Admitter) Stop(end, now time.Time) []Decision {
-	a.stop.end = end
+// Stop tells that the node stops: requests have to be done when they are due, and those that are not run
+// until the node ends. From now on, only requests are admitted that have time left: for the longest of their kind,
+// or, if they may run again elsewhere, for several times the usual. Queued ones that have not are refused, so that
+// they can go elsewhere.
+func (a *Admitter) Stop(due, end, now time.Time) []Decision {
+	a.stop.due, a.stop.end = due, end
 	return a.expire(now)
 }
 
@@ -46,7 +50,7 @@
 
 // mustLeave reports whether a request must go elsewhere because the node stops.
 func (a *Admitter) mustLeave(r Request, now time.Time) bool {
-	if a.stop.end.IsZero() {
+	if a.stop.due.IsZero() {
 		return false
 	}
 	if a.stop.retired && a.stop.single != 0 {
@@ -55,17 +59,26 @@
 	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now)
 }
 
+// isBetterElsewhere reports whether a request that may run again would have too little time for that if the end of the
+// node cut it. Another owner with a free slot is to run it; if there is none, it most likely ends here in time.
+func (a *Admitter) isBetterElsewhere(r Request, now time.Time) bool {
+	if a.stop.due.IsZero() || !r.Repeatable || !r.NoWait {
+		return false
+	}
+	return !arbiter.New(now, r.Deadline).WithRepeatable(false).WithNodeEnd(a.stop.end).IsKept()
+}
+
 // hasTimeForLongest reports whether a request has time left for the longest of its kind.
 func (a *Admitter) hasTimeForLongest(r Request, now time.Time) bool {
 	longest, known := a.forecaster.Longest(r.Kind, now)
-	return known && now.Add(time.Duration(longestMargin*float64(longest))).Before(a.stop.end)
+	return known && now.Add(time.Duration(longestMargin*float64(longest))).Before(a.stop.due)
 }
 
 // hasTimeForUsual reports whether a request may run again elsewhere, and has time left for
 // several times the usual of its kind.
 func (a *Admitter) hasTimeForUsual(r Request, now time.Time) bool {
 	expected := a.Expected(r.Kind, now)
-	return r.Repeatable && expected > 0 && now.Add(expectedMargin*expected).Before(a.stop.end)
+	return r.Repeatable && expected > 0 && now.Add(expectedMargin*expected).Before(a.stop.due)
 }
 
 // arriveSingle gives a slot to the only request that is admitted at a time, or refuses it.
--- a/admitter/stop_play_test.go
+++ b/admitter/stop_play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,10 @@
 	// usedWindow and usedShare are the time in which most healthy backend servers must get requests.
 	usedWindow = 2 * time.Second
 	usedShare  = 0.7
+	// stopPlayMove is the time before the end of an owner's node at which requests move to another owner at the latest.
+	stopPlayMove = 700 * time.Millisecond
+	// stopPlayNoWait is the number of owners that are asked for a slot that is free at once.
+	stopPlayNoWait = 3
 )
 
 // slotRequest is a request in a slot.
@@ -40,6 +45,8 @@
 	end   time.Duration
 	begun time.Duration
 	late  bool
+	// noWait is set if other owners might have had a free slot.
+	noWait bool
 }
 
 // stoppingOwner is a backend server and its node.
@@ -57,13 +64,18 @@
 
 // stopPlay plays the load in virtual time.
 type stopPlay struct {
-	keep   bool
-	random *rand.Rand
-	owners []*stoppingOwner
-	last   admitter.ID
+	keep bool
+	// deadline is that of all requests.
+	deadline time.Duration
+	random   *rand.Rand
+	owners   []*stoppingOwner
+	last     admitter.ID
 	// unserved counts the requests that no owner took; cutOnce and cutRepeatable those that were
 	// cut when their node ended, and that began after it was told to stop.
 	unserved, cutOnce, cutRepeatable int
+	// cutTooLate counts the repeatable ones among these that had less time left than they had taken when they had to
+	// move, though other owners might have had a free slot.
+	cutTooLate int
 }
 
 func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
@@ -74,8 +86,8 @@
 
 // playStopping plays the load; with keep, stopping owners go on as they do now, and else they
 // refuse everything at once.
-func playStopping(seed uint64, keep bool) *stopPlay {
-	p := &stopPlay{keep: keep, random: rand.New(rand.NewPCG(seed, 11))}
+func playStopping(seed uint64, keep bool, deadline time.Duration) *stopPlay {
+	p := &stopPlay{keep: keep, deadline: deadline, random: rand.New(rand.NewPCG(seed, 11))}
 	for range stopPlayOwners {
 		p.owners = append(p.owners, newStoppingOwner())
 	}
@@ -126,7 +138,7 @@
 		o.closed = true
 		o.admitter.Close()
 	case since == 0:
-		o.admitter.Stop(at(o.stop+nodeEnd), at(now))
+		o.admitter.Stop(at(o.stop+nodeEnd), at(o.stop+nodeCut), at(now))
 	case since >= callersMoved && !o.retired && p.keep:
 		o.retired = true
 		o.admitter.Retire(at(now))
@@ -145,13 +157,18 @@
 			p.cutOnce++
 		default:
 			p.cutRepeatable++
+			move := now - stopPlayMove
+			if left := r.begun + p.deadline - move; r.noWait && left < move-r.begun {
+				p.cutTooLate++
+			}
 		}
 	}
 	clear(o.running)
 	o.startAt = now + nodeRestart
 }
 
-// send sends a request to the idler of two owners, and to others while it is refused.
+// send sends a request to the idler of two owners, and to others while it is refused. Only the first ones are
+// asked for a slot that is free at once.
 func (p *stopPlay) send(now time.Duration) {
 	kind, work := fleet.RequestKind("booking"), 640*time.Millisecond
 	if p.random.Float64() < 0.35 {
@@ -166,16 +183,28 @@
 		order[0], order[1] = order[1], order[0]
 	}
 	p.last++
-	for _, i := range order {
+	full := 0
+	for _, i := range slices.Concat(order, order) {
 		o := p.owners[i]
 		if o.startAt > 0 {
 			continue // it left, and all know it
 		}
-		decisions := o.admitter.Arrive(admitter.Request{ID: p.last, Kind: kind, Repeatable: kind == "lookup", Weight: 1, NoWait: true, Deadline: at(now + 10*time.Second)}, at(now))
-		if decisions[len(decisions)-1].Action != admitter.Run {
+		noWait := full < stopPlayNoWait
+		if !noWait && len(o.running) >= stopPlaySlots {
+			continue
+		}
+		decisions := o.admitter.Arrive(admitter.Request{ID: p.last, Kind: kind, Repeatable: kind == "lookup", Weight: 1, NoWait: noWait, Deadline: at(now + p.deadline)}, at(now))
+		switch d := decisions[len(decisions)-1]; {
+		case d.Action == admitter.Wait:
+			o.admitter.Cancel(p.last)
+			continue
+		case d.Reason == fleet.ReasonBusy:
+			full++
+			continue
+		case d.Action != admitter.Run:
 			continue
 		}
-		o.running[p.last] = slotRequest{kind: kind, begun: now, end: now + work, late: o.stop > 0 && now >= o.stop}
+		o.running[p.last] = slotRequest{kind: kind, begun: now, end: now + work, late: o.stop > 0 && now >= o.stop, noWait: noWait}
 		o.got = append(o.got, now)
 		return
 	}
@@ -203,13 +232,18 @@
 // TestStoppingNodesKeepTheirBackendServersInUse guards against many healthy backend servers that get
 // nothing while their nodes stop, and against requests that run there and are lost.
 func TestStoppingNodesKeepTheirBackendServersInUse(t *testing.T) {
-	is := is.New(t)
-	for seed := range uint64(5) {
-		before, now := playStopping(seed, false), playStopping(seed, true)
-		t.Logf("seed %d: least share in use %.2f, before %.2f; not served %d, before %d; cut %d repeatable",
-			seed, now.leastUsed(), before.leastUsed(), now.unserved, before.unserved, now.cutRepeatable)
-		is.True(now.leastUsed() >= usedShare)
-		is.True(now.unserved <= before.unserved)
-		is.Equal(now.cutOnce, 0)
+	for _, deadline := range []time.Duration{10 * time.Second, 5 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				before, now := playStopping(seed, false, deadline), playStopping(seed, true, deadline)
+				t.Logf("seed %d: least share in use %.2f, before %.2f; not served %d, before %d; cut %d repeatable, %d too late",
+					seed, now.leastUsed(), before.leastUsed(), now.unserved, before.unserved, now.cutRepeatable, now.cutTooLate)
+				is.True(now.leastUsed() >= usedShare)
+				is.True(now.unserved <= before.unserved)
+				is.Equal(now.cutOnce, 0)
+				is.Equal(now.cutTooLate, 0)
+			}
+		})
 	}
 }
--- a/admitter/stop_test.go
+++ b/admitter/stop_test.go
@@ -40,6 +40,11 @@
 	return decisions[len(decisions)-1]
 }
 
+// stop tells that the node ends in 5.8 s, and that requests have to be done 0.8 s before.
+func (s *stopping) stop() []admitter.Decision {
+	return s.Stop(s.now.Add(5*time.Second), s.now.Add(5800*time.Millisecond), s.now)
+}
+
 func (s *stopping) refuses(kind fleet.RequestKind, repeatable bool) {
 	d := s.arrive(kind, repeatable)
 	s.is.Equal(d.Action, admitter.Refuse)
@@ -56,7 +61,7 @@
 // ends, and against a backend server that is unused although it could serve short ones.
 func TestStoppingOwnerTakesWhatWillBeDone(t *testing.T) {
 	s := newStopping(t)
-	s.Stop(s.now.Add(5*time.Second), s.now)
+	s.stop()
 	s.runs("short", false) // none has taken longer than is left
 	s.runs("short", false)
 	s.refuses("mixed", false) // it may be cut, and may not run again
@@ -75,7 +80,7 @@
 // always has new work, and against one whose backend server is unused until it does.
 func TestRetiringOwnerTakesOneAtATime(t *testing.T) {
 	s := newStopping(t)
-	s.Stop(s.now.Add(5*time.Second), s.now)
+	s.stop()
 	var ids []admitter.ID
 	for range 4 {
 		ids = append(ids, s.runs("short", false))
@@ -105,8 +110,37 @@
 	}
 	s.is.Equal(s.arrive("mixed", false).Action, admitter.Wait)
 	s.is.Equal(s.arrive("short", true).Action, admitter.Wait)
-	decisions := s.Stop(s.now.Add(5*time.Second), s.now)
+	decisions := s.stop()
 	s.is.Equal(len(decisions), 1)
 	s.is.Equal(decisions[0].ID, s.last-1)
 	s.is.Equal(decisions[0].Reason, fleet.ReasonDraining)
 }
+
+// TestStoppingOwnerLeavesTimeForAnotherRun guards against a request that the end of its owner's node cuts when too
+// little time is left for another run, though another owner had a slot when it came.
+func TestStoppingOwnerLeavesTimeForAnotherRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		since, deadline    time.Duration
+		repeatable, noWait bool
+		reason             fleet.Reason
+	}{
+		"deadline before the end":      {500 * time.Millisecond, 5 * time.Second, true, true, ""},
+		"little time after the end":    {1200 * time.Millisecond, 5 * time.Second, true, true, fleet.ReasonBusy},
+		"no owner has a free slot":     {1200 * time.Millisecond, 5 * time.Second, true, false, ""},
+		"no time after the end":        {900 * time.Millisecond, 4950 * time.Millisecond, true, true, ""},
+		"as much time after the end":   {2700 * time.Millisecond, 5 * time.Second, true, true, ""},
+		"much time after the end":      {1200 * time.Millisecond, 10 * time.Second, true, true, ""},
+		"must run once, time for each": {1200 * time.Millisecond, 5 * time.Second, false, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStopping(t)
+			s.stop()
+			s.now = s.now.Add(tc.since)
+			s.last++
+			decisions := s.Arrive(admitter.Request{
+				ID: s.last, Kind: "short", Repeatable: tc.repeatable, NoWait: tc.noWait, Weight: 1, Deadline: s.now.Add(tc.deadline),
+			}, s.now)
+			s.is.Equal(decisions[len(decisions)-1].Reason, tc.reason)
+		})
+	}
+}
--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -14,6 +14,8 @@
 	// searchTime is the time before the end of the owner's node from which a slot for the next attempt
 	// is looked for. In it, owners that are full or stop are asked three times.
 	searchTime = 1050 * time.Millisecond
+	// decisionInterval is the longest time between two decisions about an attempt: the progress timeout.
+	decisionInterval = 350 * time.Millisecond
 	// slotTime is how long a reserved slot is relied on: owners hold it for 0.5 s.
 	slotTime = 400 * time.Millisecond
 	// minAnswerTime is the least time for which the answer of an ended process is waited for.
@@ -128,6 +130,19 @@
 		a.deadline.Sub(now) >= now.Sub(a.sent)
 }
 
+// outlastsNode reports whether there is time for another attempt once the owner's node has ended.
+func (a Attempt) outlastsNode() bool { return a.deadline.Sub(a.nodeEnd) >= minRetryTime }
+
+// IsKept reports whether an attempt that begins at an owner whose node stops is worth it: its deadline comes before the
+// end of the node, or another one will have as much time as this one has taken when the last slot is looked for.
+func (a Attempt) IsKept() bool {
+	if !a.Stopping() || !a.outlastsNode() {
+		return true
+	}
+	last := a.nodeEnd.Add(-searchTime + decisionInterval)
+	return a.repeatable && a.deadline.Sub(last) >= last.Sub(a.sent)
+}
+
 // mayFollow reports whether another attempt may follow this one, and can be in time.
 func (a Attempt) mayFollow(now time.Time) bool {
 	return a.repeatable && a.deadline.Sub(now) >= minRetryTime
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -122,3 +122,30 @@
 	ended := a.WithDeadline(start.Add(10*time.Second - 1)).WithEnding(arbiter.NodeEnded)
 	is.Equal(ended.Next(end), arbiter.Search) // it may be faster elsewhere
 }
+
+// TestAttemptIsKeptOnlyWithTimeForAnother guards against a run at a stopping owner that ends with its node when
+// less time is left for another one than it has taken.
+func TestAttemptIsKeptOnlyWithTimeForAnother(t *testing.T) {
+	end := start.Add(4700 * time.Millisecond)
+	for name, tc := range map[string]struct {
+		deadline   time.Duration
+		repeatable bool
+		kept       bool
+	}{
+		"deadline before the end":            {4700 * time.Millisecond, false, true},
+		"too little time after it for a run": {4799 * time.Millisecond, false, true},
+		"must run once":                      {15 * time.Second, false, false},
+		"less than was taken":                {8*time.Second - 1, true, false},
+		"as much as was taken":               {8 * time.Second, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := arbiter.New(start, start.Add(tc.deadline)).WithNodeEnd(end)
+			if tc.repeatable {
+				a = a.WithRepeatable(false)
+			}
+			is.Equal(a.IsKept(), tc.kept)
+			is.True(arbiter.New(start, start.Add(tc.deadline)).IsKept()) // its node does not stop
+		})
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -74,8 +74,9 @@
 
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
-	// due is when admitted attempts have to be done; zero while the node does not stop.
-	due time.Time
+	// due is when admitted attempts have to be done, and end when the node ends those that are not; zero while
+	// the node does not stop.
+	due, end time.Time
 	// retired is set once each backend server gets one request at a time.
 	retired bool
 }
@@ -246,7 +247,7 @@
 			g.estimator = estimator.New(d.clock.Now())
 		}
 		if !d.due.IsZero() {
-			g.stop(d.due)
+			g.stop(d.due, d.end)
 		}
 		if d.retired {
 			g.retire()
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -168,12 +168,12 @@
 	g.deliver(g.admitter.Close())
 }
 
-// stop tells that the node stops and until when attempts have to be done.
-func (g *gate) stop(due time.Time) {
+// stop tells that the node stops, until when attempts have to be done and when it ends.
+func (g *gate) stop(due, end time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.deliver(g.admitter.Stop(due, g.clock.Now()))
+	g.deliver(g.admitter.Stop(due, end, g.clock.Now()))
 }
 
 // retire admits one request at a time from now on.
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -18,9 +18,9 @@
 	d.stopping.stop(end)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.due = due
+	d.due, d.end = due, end
 	for _, g := range d.gates {
-		g.stop(due)
+		g.stop(due, end)
 	}
 }
 
