Reserve the next slot before the end of an owner's node, not after it

What callers saw: 504, or 502, after SIGTERM of their node, with time left and with nobody at work: the node of their owner had cut the run 0.05 s to 1.1 s before, and no other owner was found until their own node aborted.

Cause: a slot for the next run was looked for before the end of the owner only if as much time was left as the run had taken. The abort of the ingress's own node counts as the deadline there, so that with an ingress that stops as well the search began with the cut, when others may be full.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -18,6 +18,9 @@
 	decisionInterval = 350 * time.Millisecond
 	// slotTime is how long a reserved slot is relied on: owners hold it for 0.5 s.
 	slotTime = 400 * time.Millisecond
+	// lateSearchTime is the time before the end of the owner's node from which a slot is reserved for the
+	// next attempt, also if that has little time: the slot is still relied on when the node has ended.
+	lateSearchTime = slotTime - 20*time.Millisecond
 	// minAnswerTime is the least time for which the answer of an ended process is waited for.
 	minAnswerTime = time.Second
 )
@@ -36,6 +39,7 @@
 	search     SlotSearch
 	reservedAt time.Time
 	ending     Ending
+	usual      time.Duration
 }
 
 // New returns an attempt that was sent at a time and has a deadline.
@@ -49,6 +53,12 @@
 	return a
 }
 
+// WithUsual returns a copy whose kind usually takes this long; 0 if that is not known.
+func (a Attempt) WithUsual(usual time.Duration) Attempt {
+	a.usual = usual
+	return a
+}
+
 // WithRepeatable returns a copy that another attempt may follow although it may have run. If
 // lastLoss is set, none may follow once its owner counts as lost as well.
 func (a Attempt) WithRepeatable(lastLoss bool) Attempt {
@@ -118,16 +128,30 @@
 		return a.nextInSilence(now)
 	case a.timeouts == 0 && a.mustMove(now):
 		return a.nextInSearch(now)
+	case a.timeouts == 0 && a.mustReserve(now):
+		return a.nextBeforeEnd(now)
 	default:
 		return Wait
 	}
 }
 
-// mustMove reports whether the owner's node is about to end before the attempt has to, and another attempt
-// has at least the time that this one has taken: it begins anew.
+// mustMove reports whether the owner's node is about to end before the attempt has to, and another one may be done
+// in time.
 func (a Attempt) mustMove(now time.Time) bool {
 	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime)) &&
-		a.deadline.Sub(now) >= now.Sub(a.sent)
+		a.hasTimeForAnother(now)
+}
+
+// hasTimeForAnother reports whether another attempt, which begins anew, has the time that this one has taken or that its
+// kind usually takes.
+func (a Attempt) hasTimeForAnother(now time.Time) bool {
+	left := a.deadline.Sub(now)
+	return left >= now.Sub(a.sent) || a.usual > 0 && left >= a.usual
+}
+
+// mustReserve reports whether the owner's node is about to end the attempt, and another one may follow then.
+func (a Attempt) mustReserve(now time.Time) bool {
+	return a.Stopping() && a.repeatable && a.outlastsNode() && !now.Before(a.nodeEnd.Add(-lateSearchTime))
 }
 
 // outlastsNode reports whether there is time for another attempt once the owner's node has ended.
@@ -181,6 +205,14 @@
 	}
 }
 
+// nextBeforeEnd returns the next step of an attempt that goes on until the owner's node ends.
+func (a Attempt) nextBeforeEnd(now time.Time) Step {
+	if a.hasSlot(now) || a.search == NoSlot {
+		return Wait
+	}
+	return Reserve
+}
+
 // hasSlot reports whether the slot of the next attempt is still reserved.
 func (a Attempt) hasSlot(now time.Time) bool {
 	return a.search == SlotReserved && now.Sub(a.reservedAt) < slotTime
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -119,10 +119,29 @@
 	a := arbiter.New(start, start.Add(10*time.Second)).WithRepeatable(false).WithNodeEnd(end)
 	is.Equal(a.Next(late), arbiter.Reserve)
 	is.Equal(a.WithDeadline(start.Add(10*time.Second-1)).Next(late), arbiter.Wait)
+	short := a.WithDeadline(start.Add(10*time.Second - 1)).WithUsual(5*time.Second - 1)
+	is.Equal(short.Next(late), arbiter.Reserve) // this run is slow, and another one most likely is not
+	is.Equal(short.WithUsual(5*time.Second).Next(late), arbiter.Wait)
 	ended := a.WithDeadline(start.Add(10*time.Second - 1)).WithEnding(arbiter.NodeEnded)
 	is.Equal(ended.Next(end), arbiter.Search) // it may be faster elsewhere
 }
 
+// TestSlotIsReservedBeforeTheOwnerEnds guards against a search that begins with the end of the owner's node, when the
+// ingress may have no time left for it. The run goes on until then.
+func TestSlotIsReservedBeforeTheOwnerEnds(t *testing.T) {
+	is := is.New(t)
+	end := start.Add(6 * time.Second)
+	late := end.Add(-380 * time.Millisecond)
+	a := arbiter.New(start, end.Add(time.Second)).WithRepeatable(false).WithNodeEnd(end) // less is left than was taken
+	is.Equal(a.Next(late.Add(-1)), arbiter.Wait)
+	is.Equal(a.Next(late), arbiter.Reserve)
+	reserved := a.WithSearch(arbiter.SlotReserved, late)
+	is.Equal(reserved.Next(end), arbiter.Wait)
+	is.Equal(reserved.WithEnding(arbiter.NodeEnded).Next(end), arbiter.Move)
+	is.Equal(a.WithDeadline(end.Add(100*time.Millisecond-1)).Next(late), arbiter.Wait) // too little for another run
+	is.Equal(arbiter.New(start, end.Add(time.Second)).WithNodeEnd(end).Next(late), arbiter.Wait)
+}
+
 // TestAttemptIsKeptOnlyWithTimeForAnother guards against a run at a stopping owner that ends with its node when
 // less time is left for another one than it has taken.
 func TestAttemptIsKeptOnlyWithTimeForAnother(t *testing.T) {
--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -28,7 +28,7 @@
 // decide takes the steps that are due for an attempt, and reports whether it is given up.
 func (f *Forwarder) decide(ctx context.Context, d *delivery) bool {
 	d.update(func(a arbiter.Attempt) arbiter.Attempt {
-		a = a.WithDeadline(f.latestAnswer(d.submission))
+		a = a.WithDeadline(f.latestAnswer(d.submission)).WithUsual(f.serviceTimes.usual(d.submission.service, d.submission.kind))
 		if d.succession == nil {
 			return a
 		}
@@ -40,10 +40,9 @@
 			answer := f.askOwner(ctx, d)
 			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithAnswer(answer, f.clock.Now()) })
 		case arbiter.Reserve:
-			search := f.reserveSlot(ctx, d)
-			d.update(func(a arbiter.Attempt) arbiter.Attempt { return a.WithSearch(search, f.clock.Now()) })
+			d.recordSearch(f.reserveSlot(ctx, d))
 		case arbiter.Move:
-			d.successor.Store(d.reserved)
+			d.giveUp()
 			return true
 		case arbiter.Drop:
 			return true
@@ -54,17 +53,13 @@
 	return false
 }
 
-// reserveSlot looks for a slot for the attempt that follows.
-func (f *Forwarder) reserveSlot(ctx context.Context, d *delivery) arbiter.SlotSearch {
+// reserveSlot looks for a slot for the attempt that follows. It returns nil if there is none.
+func (f *Forwarder) reserveSlot(ctx context.Context, d *delivery) *successor {
 	reason := fleet.ReasonStalled
 	if _, stopping := d.ownerStopping(); stopping {
 		reason = fleet.ReasonStopped
 	}
-	d.reserved = f.reserveNext(ctx, d.succession, reason)
-	if d.reserved == nil {
-		return arbiter.NoSlot
-	}
-	return arbiter.SlotReserved
+	return f.reserveNext(ctx, d.succession, reason)
 }
 
 // askOwner asks a silent owner to seal an attempt. Later requests take new connections to it.
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -23,9 +23,6 @@
 	// succession finds the attempt that follows if this one is given up although it may run; nil if
 	// none may.
 	succession *succession
-	// reserved is that attempt while a slot is reserved for it; nil if none is. Only the goroutine that
-	// decides uses it.
-	reserved *successor
 	// successor is that attempt once this one is given up for it.
 	successor atomic.Pointer[successor]
 	// waiting is set while the last that the owner told is that the attempt waits, and that
@@ -41,6 +38,8 @@
 	mu sync.Mutex
 	// known is what is known about the attempt.
 	known arbiter.Attempt
+	// reserved is the attempt that follows while a slot is reserved for it; nil if none is.
+	reserved *successor
 	// stoppingAt is when the owner told that its node stops; zero before.
 	stoppingAt time.Time
 }
@@ -82,6 +81,42 @@
 	d.known = change(d.known)
 }
 
+// recordSearch records the result of a search for a slot: the attempt that follows, or nil.
+func (d *delivery) recordSearch(reserved *successor) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	search := arbiter.NoSlot
+	if reserved != nil {
+		search = arbiter.SlotReserved
+	}
+	d.reserved = reserved
+	d.known = d.known.WithSearch(search, d.clock.Now())
+}
+
+// giveUp records that this attempt is given up for the one whose slot is reserved.
+func (d *delivery) giveUp() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.successor.Store(d.reserved)
+}
+
+// following returns the attempt that follows this one, which ended for a reason and without an answer; nil if no
+// slot is reserved for one.
+func (d *delivery) following(reason fleet.Reason) *successor {
+	if reason != fleet.ReasonStalled && reason != fleet.ReasonStopped {
+		return nil
+	}
+	if next := d.successor.Load(); next != nil || reason == fleet.ReasonStalled {
+		return next
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known.WithEnding(arbiter.NodeEnded).Next(d.clock.Now()) != arbiter.Move {
+		return nil
+	}
+	return d.reserved
+}
+
 // next returns the next step.
 func (d *delivery) next(now time.Time) arbiter.Step {
 	d.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,7 @@
 	tickets           *tickets
 	peers             *peers
 	tabulator         *tabulator.Tabulator
+	serviceTimes      *serviceTimes
 	routes            atomic.Pointer[matcher.Matcher]
 	organisations     atomic.Pointer[authenticator.Authenticator]
 }
@@ -110,6 +111,7 @@
 		f.retrier = retrier.New()
 	}
 	f.breaker = breaker.New(f.clock)
+	f.serviceTimes = newServiceTimes(f.clock)
 	if f.limiter == nil {
 		f.limiter = limiter.New(f.clock)
 	}
--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -15,10 +15,12 @@
 	"cowsliptally.example/cowsliptally/forwarder"
 )
 
-// endingOwner is an owner whose node ends at a time, with an attempt at work that takes some time.
+// endingOwner is an owner whose node ends at a time, with an attempt at work that takes some time. Its first
+// attempts take another one.
 type endingOwner struct {
 	end      time.Time
 	work     time.Duration
+	first    []time.Duration
 	attempts atomic.Int32
 	left     atomic.Bool
 }
@@ -36,14 +38,18 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	o.attempts.Add(1)
-	done, beat := time.After(o.work), time.NewTicker(50*time.Millisecond)
+	work := o.work
+	if i := int(o.attempts.Add(1)); i <= len(o.first) {
+		work = o.first[i-1]
+	}
+	done, beat := time.After(work), time.NewTicker(50*time.Millisecond)
 	defer beat.Stop()
 	for {
 		select {
 		case <-done:
 			header.Del(fleet.HeaderEnds)
 			header.Set(fleet.HeaderExecuted, string(fleet.ExecutedYes))
+			header.Set(fleet.HeaderServiceTime, strconv.FormatInt(work.Microseconds(), 10))
 			w.WriteHeader(http.StatusOK)
 			return
 		case <-q.Context().Done():
@@ -61,7 +67,14 @@
 
 // serveEnding returns a rig whose first owner ends after a time, and whose others have no free slot until another.
 func serveEnding(t *testing.T, ends, work, free time.Duration) (*rig, *endingOwner, *ledger) {
-	r, other := newRig(t, forwarder.WithRetrier(noBudget()), forwarder.WithNoWaitAttempts(3)), newLedger()
+	other := newLedger()
+	r, ending := serveEndingBeside(t, ends, work, free, other)
+	return r, ending, other
+}
+
+// serveEndingBeside returns such a rig whose others run a handler.
+func serveEndingBeside(t *testing.T, ends, work, free time.Duration, other http.Handler) (*rig, *endingOwner) {
+	r := newRig(t, forwarder.WithRetrier(noBudget()), forwarder.WithNoWaitAttempts(3))
 	now := time.Now()
 	ending := &endingOwner{end: now.Add(ends), work: work}
 	r.servePeer(r.addOwner("a", newLedger()), ending)
@@ -69,7 +82,7 @@
 		o := r.addOwner(name, other)
 		r.servePeer(o, busyUntil(now.Add(free), peerHandler(o.dispatcher)))
 	}
-	return r, ending, other
+	return r, ending
 }
 
 // TestRequestLeavesAStoppingOwnerOnlyForAReservedSlot guards against a request that is taken from a stopping
@@ -130,6 +143,40 @@
 	}
 }
 
+// TestNextRunHasTimeBeforeTheAbortOfItsIngress guards against a request that waits for the end of its owner's
+// node although its own node aborts it soon after that, while another owner has a free slot.
+func TestNextRunHasTimeBeforeTheAbortOfItsIngress(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const (
+		ends  = 3 * time.Second
+		free  = ends - 500*time.Millisecond
+		abort = ends + 300*time.Millisecond
+		work  = 500 * time.Millisecond
+	)
+	other, begun := newLedger(), make(chan time.Time, 8)
+	r, ending := serveEndingBeside(t, ends, time.Hour, free, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		begun <- time.Now()
+		time.Sleep(work)
+		other.ServeHTTP(w, q)
+	}))
+	ending.first = []time.Duration{work}
+	sendRequest(t, r, "GET", "/", "") // the ingress learns what is usual
+	abortAt := ending.end.Add(abort - ends)
+	r.forwarder.Stop(time.Now(), abortAt)
+	timer := time.AfterFunc(time.Until(abortAt), r.forwarder.Abort)
+	defer timer.Stop()
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "moved", fleet.HeaderTimeout, "9000")
+	t.Logf("%d %.3f s before the abort", response.StatusCode, time.Until(abortAt).Seconds())
+	is.True(len(begun) > 0)
+	next := <-begun
+	t.Logf("the next run began %.3f s before the owner's end and %.3f s before the abort", ending.end.Sub(next).Seconds(), abortAt.Sub(next).Seconds())
+	is.True(next.Before(abortAt))
+	is.True(next.Before(ending.end))
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count("moved"), 1)
+}
+
 // TestLastAttemptIsOfferedAsSuch guards against the last run that a route allows at an owner that stops as
 // well: it takes such a request only if it will be done before its own node ends.
 func TestLastAttemptIsOfferedAsSuch(t *testing.T) {
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -35,9 +35,7 @@
 	}
 	r := f.prove(ctx, d, exchange, unknown(reason, err.Error()))
 	r.ownerStopping, _ = d.ownerStopping()
-	if reason == fleet.ReasonStalled || reason == fleet.ReasonStopped {
-		r.successor = d.successor.Load()
-	}
+	r.successor = d.following(reason)
 	return r
 }
 
