Charge a move for a planned stop when the next attempt is made

What callers saw: nothing at once. The retry budget of an ingress was charged for each slot that was reserved because the owner's node stops, also if the owner answered the request before its end; retries of other requests then found the budget spent.

Such a retry needs no budget, so nothing has to be kept for it: it is charged when the next attempt is made.

forwarder.TestReservedSlotThatIsNotUsedCostsNoRetry failed before:

move_test.go:180: not true: budget.Remaining("ledger") >= left --- FAIL: TestReservedSlotThatIsNotUsedCostsNoRetry (3.95s)

--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -13,6 +13,7 @@
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/retrier"
 )
 
 // endingOwner is an owner whose node ends at a time, with an attempt at work that takes some time. Its first
@@ -205,3 +206,23 @@
 		})
 	}
 }
+
+// TestReservedSlotThatIsNotUsedCostsNoRetry guards against a retry budget that is spent on requests whose stopping
+// owner answers them after all.
+func TestReservedSlotThatIsNotUsedCostsNoRetry(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const ends = 4 * time.Second // less is left for another attempt than is taken by then
+	budget := retrier.New()
+	r := newRig(t, forwarder.WithRetrier(budget))
+	r.servePeer(r.addOwner("a", newLedger()), &endingOwner{end: time.Now().Add(ends), work: ends - 50*time.Millisecond})
+	other := newLedger()
+	r.addOwner("b", other)
+	r.addOwner("c", other)
+	left := budget.Remaining("ledger")
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "stays", fleet.HeaderTimeout, "4500")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.total(), 0)
+	is.Equal(r.recorded(fleet.EventSearch, "stays", "reserved"), 1)
+	is.True(budget.Remaining("ledger") >= left)
+}
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -30,6 +30,9 @@
 	backend fleet.Backend
 	// retryCost is the cost of the retry that its owner has still to charge.
 	retryCost float64
+	// owed is the failure whose retry is charged to this node's budget once the attempt is made; nil if it is
+	// charged already.
+	owed *retrier.Attempt
 }
 
 // succession returns what may follow an attempt at a backend server with this number, or nil if
@@ -63,7 +66,8 @@
 }
 
 // reserveNext has another owner reserve a slot for the attempt that follows this one, which is given up
-// for a reason, and charges the retry. It returns nil if none has, or no budget covers the retry.
+// for a reason. It returns nil if none has, or no budget covers the retry. The retry is charged, unless a planned
+// stop is the reason: it needs no budget, and the present attempt may still be answered.
 func (f *Forwarder) reserveNext(ctx context.Context, n *succession, reason fleet.Reason) *successor {
 	failed := n.failed(f.clock.Now(), reason)
 	cost, allowed := f.retrier.Quote(failed)
@@ -75,7 +79,11 @@
 	state.ran++
 	state.tried = slices.Clone(state.tried)
 	next := f.offerOthers(ctx, &s, &state, n.number)
-	if next != nil && cost == 0 && !f.chargeNext(failed) {
+	switch {
+	case next == nil || cost > 0:
+	case reason == fleet.ReasonStopped:
+		next.owed = &failed
+	case !f.chargeNext(failed):
 		return nil
 	}
 	return next
@@ -153,6 +161,9 @@
 // follow prepares the attempt whose slot is reserved.
 func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
 	s.retryCost = last.successor.retryCost
+	if owed := last.successor.owed; owed != nil {
+		f.retrier.Decide(*owed)
+	}
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "owed", Value: s.retryCost},
