Play lost connections and dropped nodes in the test of all orders

The test of all orders of the events that end a request at work did not play a connection that breaks while its owner lives, or a membership that holds the owner's node for dead. Both are played now, on fewer times: an ingress gives such a request up only when the connection has ended, or while the dropped node is silent. That the word of the membership is taken for the end of a silent owner stays as it is (forwarder.TestRequestAtAnEndedOwnerIsNotWaitedFor asks for it).

--- a/arbiter/orders_test.go
+++ b/arbiter/orders_test.go
@@ -1,6 +1,7 @@
 package arbiter_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -29,8 +30,17 @@
 	handsBack, repeatable          bool
 	// freshPath is set if new connections work while the one of the attempt is silent.
 	freshPath bool
+	// breaks is when the connection ends although the owner lives, and dropped when the membership holds its node for
+	// dead; zero for never.
+	breaks, dropped time.Duration
 }
 
+// breaksAt returns when the connection ends although the owner lives.
+func (o order) breaksAt() time.Duration { return cmp.Or(o.breaks, never) }
+
+// isDropped reports whether the membership holds the owner's node for dead.
+func (o order) isDropped(at time.Duration) bool { return at >= cmp.Or(o.dropped, never) }
+
 // ownerEnd returns when the owner's process ends.
 func (o order) ownerEnd() time.Duration { return min(o.ownerSignal+ownerLast, o.cut) }
 
@@ -51,7 +61,7 @@
 	if o.handsBack && o.repeatable {
 		handBack = o.ownerSignal + ingressLast
 	}
-	return at < min(o.answer, o.ownerEnd(), handBack)
+	return at < min(o.answer, o.ownerEnd(), o.breaksAt(), handBack)
 }
 
 // told is what the caller gets, and when.
@@ -120,12 +130,12 @@
 	if o.handsBack && o.repeatable {
 		handBack = o.ownerSignal + ingressLast
 	}
-	switch first := min(o.answer, handBack, o.ownerEnd()); {
+	switch first := min(o.answer, handBack, o.ownerEnd(), o.breaksAt()); {
 	case first >= never:
 		return never, arbiter.Failed
 	case first == o.answer:
 		return o.arrival(first), arbiter.Running
-	case first == o.cut:
+	case first == o.cut, first == o.breaksAt():
 		return o.arrival(first), arbiter.Failed
 	default:
 		return o.arrival(first), arbiter.NodeEnded
@@ -149,6 +159,8 @@
 
 func (o order) ask(now time.Duration) arbiter.Answer {
 	switch {
+	case o.isDropped(now):
+		return arbiter.Gone
 	case !o.freshPath:
 		return arbiter.Unreachable
 	case now >= o.ownerEnd():
@@ -186,7 +198,7 @@
 			return "an answer in time was not delivered"
 		}
 		return ""
-	case o.isGivenUpByTCP(end.at):
+	case o.isGivenUpByTCP(end.at), o.isDropped(end.at) && o.isSilent(end.at):
 		return ""
 	case o.isAtWork(end.at):
 		return "given up while its backend server was at work"
@@ -202,31 +214,50 @@
 // TestNoOrderOfEventsEndsARequestAtWork guards against an answer of the ingress's own while a backend server
 // is at work, in any order of the events that can end a request.
 func TestNoOrderOfEventsEndsARequestAtWork(t *testing.T) {
-	signals := []time.Duration{-5700, -4600, -3100, 200, 1600, 3300, never}
 	times := []time.Duration{100, 900, 2100, 3700, 5300, 8500, never}
-	counts := map[string]int{}
-	orders, failures := 0, 0
+	p := orderPlay{t: t, counts: map[string]int{}}
+	p.play([]time.Duration{-5700, -4600, -3100, 200, 1600, 3300, never}, times, times, []time.Duration{0}, []time.Duration{0})
+	p.log()
+}
+
+// TestNoLostConnectionOrNodeEndsARequestAtWork guards against the same where the connection breaks although the owner
+// lives, or the membership drops its node: only a silent one is given up on its word.
+func TestNoLostConnectionOrNodeEndsARequestAtWork(t *testing.T) {
+	events := []time.Duration{0, 1000, 4000, 6500}
+	p := orderPlay{t: t, counts: map[string]int{}}
+	p.play([]time.Duration{-3100, 1600, never}, []time.Duration{900, 3700, never}, []time.Duration{100, 3700, never}, events, events)
+	p.log()
+}
+
+// orderPlay plays orders of events.
+type orderPlay struct {
+	t                *testing.T
+	orders, failures int
+	counts           map[string]int
+}
+
+// play plays all orders with these times of signals, ends and silences, and of breaks and drops.
+func (p *orderPlay) play(signals, ends, silences, breaks, drops []time.Duration) {
 	for _, ingressSignal := range signals {
 		for _, ownerSignal := range signals {
-			for _, answer := range times {
-				for _, cut := range times {
-					for _, silence := range times {
-						for _, restored := range times {
+			for _, answer := range ends {
+				for _, cut := range ends {
+					for _, silence := range silences {
+						for _, restored := range silences {
 							if restored <= silence {
 								continue
 							}
-							for _, slotFree := range times {
-								for flags := range 8 {
-									o := order{
-										ingressSignal: scale(ingressSignal), ownerSignal: scale(ownerSignal), answer: scale(answer) + 1, cut: scale(cut) + 2,
-										silence: scale(silence) + 3, restored: scale(restored) + 4, slotFree: scale(slotFree), handsBack: flags&1 != 0, repeatable: flags&2 != 0, freshPath: flags&4 != 0,
-									}
-									end := o.play()
-									orders++
-									counts[end.what]++
-									if fault := o.broken(end); fault != "" && failures < 10 {
-										failures++
-										t.Errorf("%s: %+v: %+v", fault, o, end)
+							for _, slotFree := range ends {
+								for _, broken := range breaks {
+									for _, dropped := range drops {
+										for flags := range 8 {
+											p.playOne(order{
+												ingressSignal: scale(ingressSignal), ownerSignal: scale(ownerSignal), answer: scale(answer) + 1, cut: scale(cut) + 2,
+												silence: scale(silence) + 3, restored: scale(restored) + 4, slotFree: scale(slotFree),
+												breaks: scale(broken), dropped: scale(dropped),
+												handsBack: flags&1 != 0, repeatable: flags&2 != 0, freshPath: flags&4 != 0,
+											})
+										}
 									}
 								}
 							}
@@ -236,9 +267,20 @@
 			}
 		}
 	}
-	t.Log(orders, "orders:", fmt.Sprint(counts))
 }
 
+func (p *orderPlay) playOne(o order) {
+	end := o.play()
+	p.orders++
+	p.counts[end.what]++
+	if fault := o.broken(end); fault != "" && p.failures < 10 {
+		p.failures++
+		p.t.Errorf("%s: %+v: %+v", fault, o, end)
+	}
+}
+
+func (p *orderPlay) log() { p.t.Log(p.orders, "orders:", fmt.Sprint(p.counts)) }
+
 // scale returns a time in milliseconds.
 func scale(t time.Duration) time.Duration {
 	if t == never {
