Admit trial requests again after one that found no free slot

What callers saw: requests of a kind that was slow for a while can stay refused at an owner that has recovered. Found by reading, in a review.

Cause: a request that is refused by its expected service time may be admitted as a trial request, one at a time. If it is a no-wait attempt and no slot is free, it is refused after it has been counted, and counts as running for good.

admitter.TestRefusedTrialRequestAllowsTheNextOne failed before: the next trial request was refused although a slot was free.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -81,7 +81,7 @@
 	}
 	decisions := a.expire(now)
 	if a.isBetterElsewhere(r, now) {
-		return append(decisions, refusal(r.ID, fleet.ReasonBusy))
+		return append(decisions, a.refuseNoWait(r))
 	}
 	if a.stop.retired {
 		return append(decisions, a.arriveSingle(r, now))
@@ -90,7 +90,7 @@
 		return append(decisions, a.run(r, now))
 	}
 	if r.NoWait {
-		return append(decisions, refusal(r.ID, fleet.ReasonBusy))
+		return append(decisions, a.refuseNoWait(r))
 	}
 	a.waiting = append(a.waiting, r)
 	decisions = append(decisions, a.expire(now)...)
@@ -294,6 +294,12 @@
 	return d
 }
 
+// refuseNoWait refuses a no-wait attempt.
+func (a *Admitter) refuseNoWait(r Request) Decision {
+	a.endTrial(r.ID)
+	return refusal(r.ID, fleet.ReasonBusy)
+}
+
 func refusal(id ID, reason fleet.Reason) Decision {
 	return Decision{ID: id, Action: Refuse, Reason: reason}
 }
--- a/admitter/recovery_test.go
+++ b/admitter/recovery_test.go
@@ -166,3 +166,22 @@
 	a.Done(7, "write", normalWork, now.Add(normalWork))
 	is.Equal(arrive(8, "write").Action, admitter.Run)
 }
+
+// TestRefusedTrialRequestAllowsTheNextOne guards against a kind that stays refused because a trial request found no free
+// slot and counts as running.
+func TestRefusedTrialRequestAllowsTheNextOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := admitter.New(1)
+	a.Arrive(admitter.Request{ID: 1, Kind: "read", Deadline: now.Add(time.Minute)}, now)
+	a.Done(1, "read", spellWork, now)
+	now = now.Add(time.Second)
+	a.Arrive(admitter.Request{ID: 2, Kind: "write", Deadline: now.Add(time.Minute)}, now)
+	trial := func(id admitter.ID, noWait bool) admitter.Decision {
+		return a.Arrive(admitter.Request{ID: id, Kind: "read", NoWait: noWait, Deadline: now.Add(time.Second)}, now)[0]
+	}
+	is.Equal(trial(3, true).Reason, fleet.ReasonBusy)
+	a.Done(2, "write", normalWork, now)
+	now = now.Add(time.Second)
+	is.Equal(trial(4, false).Action, admitter.Run)
+}
