Wait at owners that run on before those that stop

Cause: the ingress could not tell an owner that is full from one that is about to end, and asks both again in the same way.

Refusals of a stopping node now tell when it ends, in the header that its informational responses have. Such an owner does not count as one of the three without a slot, and is asked again only if no owner that runs on is left to wait at.

--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -15,6 +15,7 @@
 		d.declined.Add(1)
 	}
 	d.describe(w.Header(), c)
+	d.stopping.setEnd(w.Header())
 	if status, crash := d.quarantiner.Status(c.identity); status == quarantiner.Suspect {
 		w.Header().Set(fleet.HeaderReporter, string(crash.Reporter))
 		w.Header().Set(fleet.HeaderCrashed, string(crash.Backend))
--- a/dispatcher/ends_test.go
+++ b/dispatcher/ends_test.go
@@ -170,3 +170,16 @@
 		d.Close()
 	}
 }
+
+// TestRefusalOfAStoppingNodeTellsItsEnd guards against an ingress that cannot tell a full owner from one whose node stops.
+func TestRefusalOfAStoppingNodeTellsItsEnd(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher.New("node", answering(t, make(chan struct{})))
+	defer d.Close()
+	refusal := send(d, "t", "1", "", "true")
+	is.Equal(refusal.Header().Get(fleet.HeaderEnds), "")
+	d.Stop(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
+	left, err := strconv.Atoi(send(d, "t", "1", "", "true").Header().Get(fleet.HeaderEnds))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 60_000)
+}
--- a/dispatcher/heartbeat.go
+++ b/dispatcher/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -73,9 +72,7 @@
 
 // write writes an informational response. The caller holds mu.
 func (h *heartbeat) write() {
-	if left, stops := h.stopping.left(); stops {
-		h.writer.Header().Set(fleet.HeaderEnds, strconv.FormatInt(left.Milliseconds(), 10))
-	}
+	h.stopping.setEnd(h.writer.Header())
 	h.writer.WriteHeader(http.StatusProcessing)
 }
 
--- a/dispatcher/stopping.go
+++ b/dispatcher/stopping.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"cowsliptally.example/cowsliptally/fleet"
 )
 
 // stopping knows whether the node stops, since when and until when. It is safe for concurrent use.
@@ -54,6 +58,13 @@
 	return max(0, times.end.Sub(s.clock.Now())), true
 }
 
+// setEnd tells in a header when the node ends, if it stops.
+func (s *stopping) setEnd(header http.Header) {
+	if left, stops := s.left(); stops {
+		header.Set(fleet.HeaderEnds, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+}
+
 // lasted returns for how long the node has been stopping, and whether it stops.
 func (s *stopping) lasted() (lasted time.Duration, stops bool) {
 	times := s.times.Load()
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -86,8 +86,8 @@
 	// HeaderProgress carries ProgressWaiting or ProgressDispatched in an owner's informational
 	// responses to an attempt.
 	HeaderProgress = "Cowsliptally-Progress"
-	// HeaderEnds carries, in an owner's informational responses to an attempt, the milliseconds until
-	// its node ends. It is set once the node has been told to stop.
+	// HeaderEnds carries, in an owner's informational responses to an attempt and in its refusals, the
+	// milliseconds until its node ends. It is set once the node has been told to stop.
 	HeaderEnds = "Cowsliptally-Ends"
 	// HeaderFollows carries "true" on an attempt whose ingress finds the next one itself when the
 	// owner's node stops. The owner does not hand it back.
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -16,6 +16,9 @@
 	leaving []fleet.BackendID
 	// full holds those that had no free slot; they may be selected again, to wait for a slot.
 	full []fleet.BackendID
+	// ending holds those that had none and whose nodes stop, where a run may be cut. They are selected again after
+	// the others.
+	ending []fleet.BackendID
 	// failing holds those suspected failing; they are used when no other is left.
 	failing []fleet.BackendID
 	// ran is the number of attempts that ran or may have run, and ranAt where they did.
@@ -50,6 +53,8 @@
 	case last.outcome.Reason == fleet.ReasonBudget:
 		a.budgetRefusals++
 		a.tried = append(a.tried, backend.ID)
+	case last.noWaitRefused && last.ownerEnds:
+		a.ending = append(a.ending, backend.ID)
 	case last.noWaitRefused:
 		a.full = append(a.full, backend.ID)
 	case last.outcome.Reason == fleet.ReasonFailing:
@@ -80,7 +85,7 @@
 // searchAgain forgets the refusals, so that all backend servers are asked again at which none of the
 // attempts, of which there were this many, may have run. They do not count as attempts.
 func (a *attemptState) searchAgain(attempts int) {
-	a.tried, a.full, a.failing, a.leaving = slices.Clone(a.ranAt), nil, nil, nil
+	a.tried, a.full, a.ending, a.failing, a.leaving = slices.Clone(a.ranAt), nil, nil, nil, nil
 	a.budgetRefusals, a.leavingRefusals = 0, 0
 	a.passed = attempts - a.ran
 }
@@ -129,7 +134,7 @@
 // declined returns the number of attempts that do not count as retries: they were
 // declined by full, failing or leaving backend servers, or by owners without retry budget.
 func (a *attemptState) declined() int {
-	return a.passed + len(a.full) + len(a.failing) + a.leavingRefusals + a.budgetRefusals
+	return a.passed + len(a.full) + len(a.ending) + len(a.failing) + a.leavingRefusals + a.budgetRefusals
 }
 
 // recordRetryCause stores the failure whose retry is to be charged to an owner.
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -20,6 +20,7 @@
 	case executed == fleet.ExecutedNo && reason != "":
 		r := refused(reason, "the owner refused the request")
 		r.outcome.RetryAfter = roomAfter(exchange.Response.Header)
+		r.ownerEnds = exchange.Response.Header.Get(fleet.HeaderEnds) != ""
 		r.reached = exchange.Response.Header.Get(fleet.HeaderReachedBackend) == "true"
 		r.notAttributed = reason == fleet.ReasonBudget
 		return r
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -17,6 +17,8 @@
 	// maxDeadlineRefusals bounds the refusals because the time left is too short: one slow
 	// backend server may need more time than the others, two are unlikely to.
 	maxDeadlineRefusals = 2
+	// maxEnding bounds the no-wait attempts at stopping owners; each costs a message.
+	maxEnding = 6
 	// maxFailing is the number of refusals by failing backend servers after which a
 	// submission makes forced attempts.
 	maxFailing = 6
@@ -108,12 +110,12 @@
 // allowsNoWait reports whether the next attempt may be a no-wait attempt. Large bodies
 // are not sent in no-wait attempts.
 func (f *Forwarder) allowsNoWait(s *submission, state *attemptState) bool {
-	return len(state.full) < f.maxNoWaitAttempts && len(s.content.Bytes()) <= maxNoWaitBody
+	return len(state.full) < f.maxNoWaitAttempts && len(state.ending) < maxEnding && len(s.content.Bytes()) <= maxNoWaitBody
 }
 
 // selectBackend picks the next backend server and the mode of the attempt. It prefers one
 // that was not tried and whose owner is reachable; then one that was full, to wait for a
-// slot; then a failing one; then one whose owner is unreachable. One at which a slot is reserved
+// slot, at first one whose node does not stop; then a failing one; then one whose owner is unreachable. One at which a slot is reserved
 // goes before all.
 func (f *Forwarder) selectBackend(s *submission, state *attemptState) (fleet.Backend, attemptMode, bool) {
 	if state.successor != nil {
@@ -125,14 +127,15 @@
 		excluded []fleet.BackendID
 		mode     attemptMode
 	}{
-		{slices.Concat(tried, state.full, state.failing, failing, unreachable), noWait},
+		{slices.Concat(tried, state.full, state.ending, state.failing, failing, unreachable), noWait},
+		{slices.Concat(tried, state.ending, state.failing, failing, unreachable), queued},
 		{slices.Concat(tried, state.failing, failing, unreachable), queued},
 		{slices.Concat(tried, state.failing, unreachable), queued},
 		{slices.Concat(tried, unreachable), forced},
 		{tried, forced},
 	}
 	if len(state.failing) >= maxFailing {
-		stages = stages[3:]
+		stages = stages[4:]
 	} else if !f.allowsNoWait(s, state) {
 		stages = stages[1:]
 	}
