Give up requests at work 0.1 s before the end of a stopping ingress

What callers saw: 504 5.1 s after SIGTERM of their node, of 6 s until SIGKILL, while a backend server was at work on their request.

Cause: a stopping node aborted all requests of its callers 0.3 s before it would end without work of other nodes. The 0.3 s are for the proof that a request which only waits did not run, and one that is at work gets none. Attempts of other nodes might go on until 5.9 s.

Now the first abort, at the same time as before, ends only requests at which no backend server can be at work. The others go on until 0.1 s before the end of the node (5.8 s), and the process goes on for them as it does for attempts of other nodes. Calls for a proof end 50 ms before the end of the node. Without an extension of the shutdown both aborts are one.

starter.TestRequestAtWorkMayUseTheGracePeriodOfItsIngress failed before, and passes now:

ends_test.go:119: told 504, node ended after 5.10 s with <nil> --- FAIL: TestRequestAtWorkMayUseTheGracePeriodOfItsIngress/GET (9.05s) --- FAIL: TestRequestAtWorkMayUseTheGracePeriodOfItsIngress/POST (9.07s)

starter.TestOnlyAttemptsOfOtherNodesExtendTheEnd stated the old rule. TestOnlyRequestsAtWorkExtendTheEnd takes its place: which work extends the end (eight kinds), until when, what its callers are told, and that nothing else does. arbiter's test of all orders plays the new time of the abort; an answer that TCP would have sent again by then is allowed to be given up in the last sixth of the grace period as well as before.

--- a/arbiter/orders_test.go
+++ b/arbiter/orders_test.go
@@ -12,9 +12,9 @@
 const (
 	// progressTimeout is the time between two decisions about an attempt.
 	progressTimeout = 350 * time.Millisecond
-	// ownerLast and ingressLast are when a node that was told to stop ends work of other nodes, and
-	// answers its callers.
-	ownerLast, ingressLast = 5900 * time.Millisecond, 5100 * time.Millisecond
+	// ownerLast, ingressLast and handBackAt are when a node that was told to stop ends work of other nodes, answers its
+	// callers itself, and hands work back to ingresses that do not find another owner themselves.
+	ownerLast, ingressLast, handBackAt = 5900 * time.Millisecond, 5800 * time.Millisecond, 5100 * time.Millisecond
 	// lastSixth is the part of a grace period of 6 s in which an ingress may answer its callers itself.
 	lastSixth = 5 * time.Second
 	// never is later than everything else.
@@ -59,7 +59,7 @@
 func (o order) isAtWork(at time.Duration) bool {
 	handBack := never
 	if o.handsBack && o.repeatable {
-		handBack = o.ownerSignal + ingressLast
+		handBack = o.ownerSignal + handBackAt
 	}
 	return at < min(o.answer, o.ownerEnd(), o.breaksAt(), handBack)
 }
@@ -128,7 +128,7 @@
 func (o order) end() (time.Duration, arbiter.Ending) {
 	handBack := never
 	if o.handsBack && o.repeatable {
-		handBack = o.ownerSignal + ingressLast
+		handBack = o.ownerSignal + handBackAt
 	}
 	switch first := min(o.answer, handBack, o.ownerEnd(), o.breaksAt()); {
 	case first >= never:
@@ -193,13 +193,13 @@
 		return "a request that must run once ran twice"
 	case end.what != ended:
 		return ""
+	case o.isGivenUpByTCP(end.at), o.isDropped(end.at) && o.isSilent(end.at):
+		return ""
 	case end.at >= min(deadline, o.ingressSignal+lastSixth):
 		if event < last && ending == arbiter.Running {
 			return "an answer in time was not delivered"
 		}
 		return ""
-	case o.isGivenUpByTCP(end.at), o.isDropped(end.at) && o.isSilent(end.at):
-		return ""
 	case o.isAtWork(end.at):
 		return "given up while its backend server was at work"
 	case ending == arbiter.Running && event < last:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,8 +70,9 @@
 	stop     Stop
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
-	// aborted is set once a shutdown has aborted callers' requests.
-	aborted atomic.Bool
+	// aborted is set once a shutdown has aborted callers' requests that only wait, and closing while it
+	// waits for those that go on and closes their connections.
+	aborted, closing atomic.Bool
 
 	// source holds the configuration when it does not come from the log service.
 	source adopter.Source
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cowsliptally.example/cowsliptally/drainer"
 	"cowsliptally.example/cowsliptally/pipeliner"
 )
@@ -18,20 +20,29 @@
 // Requests in flight are aborted some time before the end of the shutdown: their callers still
 // get an answer, and proof of non-execution if the request only waited, which takes one call to
 // another node of 250 ms at most. The time is at most maxAnswerReserve, and 1/answerPart of a short
-// shutdown. With 500 ms, requests at which backend servers were at work were given up before the
-// last sixth of a grace period of 6 s.
+// shutdown. With 500 ms, requests at which backend servers were at work were given up before the last
+// sixth of a grace period of 6 s; in a node with an extension they go on until LastAbort now.
 const (
 	maxAnswerReserve = 300 * time.Millisecond
 	answerPart       = 8
 )
 
 // AbortAfter returns the time from the beginning of a shutdown of this length at which the
-// requests in flight are aborted.
+// requests in flight that only wait are aborted.
 func AbortAfter(shutdown time.Duration) time.Duration {
 	return shutdown - min(maxAnswerReserve, shutdown/answerPart)
 }
 
-// leaveTime is the time before requests in flight are aborted at which the other nodes are told
+// lastAnswerTime is the time before the end of the node at which the requests that are left are aborted. An
+// answer is written in milliseconds, and the proof for a request that only waits by then may take a half of
+// it.
+const lastAnswerTime = 100 * time.Millisecond
+
+// closeTime is the least time in which callers' connections are closed in order: an answer may have been
+// written a moment before. The process goes on for 50 ms after a shutdown.
+const closeTime = 40 * time.Millisecond
+
+// leaveTime is the time before the first requests in flight are aborted at which the other nodes are told
 // that the node leaves. They hear of it within 200 ms.
 const leaveTime = 400 * time.Millisecond
 
@@ -44,14 +55,24 @@
 type GracePeriod struct {
 	// Linger is the time from the signal in which new requests are still accepted.
 	Linger time.Duration
-	// Shutdown is the longest time from the signal until the node ends, except for attempts of
-	// other nodes.
+	// Shutdown is the longest time from the signal until the node ends, except for requests at which
+	// backend servers are at work.
 	Shutdown time.Duration
 	// Extension is the longest time after that in which the node goes on while attempts of other
-	// nodes are at work.
+	// nodes or requests of callers are at work.
 	Extension time.Duration
 }
 
+// LastAbort returns when all requests in flight are aborted, given when those that only wait are, and when the
+// node ends.
+func (g GracePeriod) LastAbort(first, end time.Time) time.Time {
+	last := end.Add(-lastAnswerTime)
+	if g.Extension == 0 || last.Before(first) {
+		return first
+	}
+	return last
+}
+
 // reportTime is the time before the end of the node at which the attempts still at work are logged: the
 // process may be ended while it waits for them.
 const reportTime = 50 * time.Millisecond
@@ -73,16 +94,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	longest := d.remaining(grace.Shutdown + grace.Extension)
-	end := d.clock.Now().Add(longest)
+	now := d.clock.Now()
+	limit, end := now.Add(remaining), now.Add(longest)
 	extended, cancelExtended := context.WithTimeout(context.Background(), longest)
 	defer cancelExtended()
-	d.stop.ExtendWhile(d.attemptsLeft)
+	d.stop.ExtendWhile(d.workLeft)
 	d.leaving.Store(true)
 	d.logger.Info("stopping", "node", d.self.ID, "callers", d.forwarder.InFlight(), "work", d.work.Summary(), "within", remaining)
-	defer d.abortAfter(AbortAfter(remaining), end)()
-	abort := d.clock.Now().Add(AbortAfter(remaining))
-	d.forwarder.Stop(d.stoppingSince(), abort)
-	d.dispatcher.Stop(abort, end)
+	abort := now.Add(AbortAfter(remaining))
+	defer d.schedule(abort, grace.LastAbort(abort, end), end)()
 	waited := d.waitFor("callers that go elsewhere")
 	d.linger(ctx, grace)
 	d.forwarder.Drain()
@@ -97,17 +117,21 @@
 	// net/http closes each connection behind its current answer once a server shuts down, so
 	// the answers to pipelined requests must be written before.
 	_ = d.work.Wait(ctx) // what is left is logged below
+	defer d.closing.Store(false)
+	d.finishLate(extended)
 	err := d.finish(ctx, drainer.Requests, drainer.Pipelined, drainer.Offers)
-	err = errors.Join(err, s.closeCallers(ctx))
-	closing := ctx
+	callers, cancelCallers := context.WithTimeout(extended, max(limit.Sub(d.clock.Now()), closeTime))
+	defer cancelCallers()
+	err = errors.Join(err, s.closeCallers(callers))
+	peers := callers
 	if d.attempts() > 0 {
-		closing = extended
-		err = errors.Join(err, d.finishAttempts(extended, end))
+		peers = extended
+		err = errors.Join(err, d.finishAttempts(extended))
 	}
 	// The other nodes have been told that this one leaves by then: an attempt that meets the close
 	// would have an unknown outcome.
 	d.wait(ctx, departureTime-d.clock.Since(told))
-	err = errors.Join(err, s.closePeers(closing), s.callerListener.Wait(ctx))
+	err = errors.Join(err, s.closePeers(peers), s.callerListener.Wait(callers))
 	d.forwarder.Close()
 	d.dispatcher.Close()
 	if err == nil {
@@ -125,16 +149,22 @@
 	return err
 }
 
+// finishLate waits for the callers' requests that go on after the first abort, and the pipelined ones behind
+// them, at most until the node ends.
+func (d *Daemon) finishLate(ctx context.Context) {
+	d.work.Close(drainer.LateRequests)
+	if d.lateRequests() == 0 {
+		return
+	}
+	defer d.waitFor("callers' requests at work")()
+	d.closing.Store(true)
+	_ = d.work.Wait(ctx, drainer.LateRequests, drainer.Pipelined) // what is left is logged by the caller
+}
+
 // finishAttempts waits until no attempt of another node is at work, at most until the node ends. Its
 // callers have left by then, so what is given up at the end would have been given up before.
-func (d *Daemon) finishAttempts(ctx context.Context, end time.Time) error {
+func (d *Daemon) finishAttempts(ctx context.Context) error {
 	defer d.waitFor("attempts of other nodes")()
-	waiting, cancel := context.WithTimeout(ctx, end.Sub(d.clock.Now())-reportTime)
-	defer cancel()
-	if d.work.Wait(waiting, drainer.Attempts, drainer.LateAttempts) == nil {
-		return nil
-	}
-	d.dispatcher.RecordUnfinished()
 	return d.finish(ctx, drainer.Attempts, drainer.LateAttempts)
 }
 
@@ -143,18 +173,38 @@
 	return d.work.InFlight(drainer.Attempts) + d.work.InFlight(drainer.LateAttempts)
 }
 
-// attemptsLeft reports whether attempts are in flight and everything else has ended or was aborted.
-func (d *Daemon) attemptsLeft() bool { return d.aborted.Load() && d.attempts() > 0 }
+// lateRequests returns the number of callers' requests for which the shutdown is extended.
+func (d *Daemon) lateRequests() int {
+	return d.work.InFlight(drainer.LateRequests) + d.work.InFlight(drainer.Pipelined)
+}
 
-// abortAfter aborts callers' requests and hands back those of other nodes after a time, unless stop is called before.
-// The node ends at end.
-func (d *Daemon) abortAfter(duration time.Duration, end time.Time) (stop func()) {
-	timer := d.clock.AfterFunc(duration, func() {
-		d.forwarder.Abort()
-		d.dispatcher.HandBack(end)
-		d.aborted.Store(true)
-	})
-	return func() { timer.Stop() }
+// workLeft reports whether backend servers may be at work, or the last answers are on their way, and everything
+// else has ended or was aborted.
+func (d *Daemon) workLeft() bool {
+	return d.aborted.Load() && (d.attempts() > 0 || d.lateRequests() > 0 || d.closing.Load())
+}
+
+// schedule aborts callers' requests that only wait and hands back those of other nodes at a time, aborts all
+// at another, and logs the attempts at work shortly before the end, unless stop is called before. The forwarder
+// and the dispatcher know these times from the start.
+func (d *Daemon) schedule(abort, last, end time.Time) (stop func()) {
+	d.forwarder.Stop(d.stoppingSince(), last, end)
+	d.dispatcher.Stop(abort, end)
+	after := func(at time.Time, do func()) clockwork.Timer { return d.clock.AfterFunc(at.Sub(d.clock.Now()), do) }
+	timers := []clockwork.Timer{
+		after(abort, func() {
+			d.forwarder.AbortWaiting()
+			d.dispatcher.HandBack(end)
+			d.aborted.Store(true)
+		}),
+		after(last, d.forwarder.Abort),
+		after(end.Add(-reportTime), d.dispatcher.RecordUnfinished),
+	}
+	return func() {
+		for _, timer := range timers {
+			timer.Stop()
+		}
+	}
 }
 
 // linger keeps serving callers until a time after the signal. Each answer closes its connection, so
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -12,7 +12,7 @@
 )
 
 // allKinds are the kinds of work.
-var allKinds = []drainer.Kind{drainer.Requests, drainer.Pipelined, drainer.Attempts, drainer.Offers, drainer.Closing}
+var allKinds = []drainer.Kind{drainer.Requests, drainer.Pipelined, drainer.LateRequests, drainer.Attempts, drainer.Offers, drainer.Closing}
 
 // TestClosedKindsEndBeforeWaitReturns guards against a shutdown that goes on while work of a
 // closed kind is in flight, and against one that waits for kinds that are still admitted.
--- a/drainer/kind.go
+++ b/drainer/kind.go
@@ -10,6 +10,9 @@
 	// Pipelined are requests that were begun before their turn, until their answer is written.
 	// Their handlers have returned long before that if a request ahead of them takes longer.
 	Pipelined
+	// LateRequests are callers' requests that go on after those that only wait were aborted, until their
+	// answer is written. Each of them counts among Requests as well.
+	LateRequests
 	// Attempts are requests at this owner, including answers that are relayed to other nodes.
 	Attempts
 	// LateAttempts are attempts that were accepted after Attempts was closed, one at a time for each
@@ -25,5 +28,5 @@
 
 // String returns the name in logs.
 func (k Kind) String() string {
-	return [kinds]string{"requests", "pipelined", "attempts", "late", "offers", "closing"}[k]
+	return [kinds]string{"requests", "pipelined", "late-requests", "attempts", "late", "offers", "closing"}[k]
 }
--- a/forwarder/abandon_test.go
+++ b/forwarder/abandon_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	r := newRig(t)
 	r.addOwner("a", http.HandlerFunc(newLedger().recordAndBreak))
-	r.forwarder.Stop(time.Now().Add(-2*time.Second), time.Now().Add(time.Minute))
+	r.forwarder.Stop(time.Now().Add(-2*time.Second), time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	sendRequest(t, r, "POST", "/refund", "", fleet.HeaderRequestID, "broken")
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -72,10 +72,12 @@
 	d := f.newDelivery(s, owner, number)
 	request := f.outgoing(ctx, s, backend, owner, number, d.ticket)
 	mode.setHeader(request.Header)
+	s.stage.begin(d)
 	exchange, err := f.pooler.Send(ctx, pooler.Message{
 		Address:         owner.PeerAddress,
 		Request:         request,
 		Content:         s.content.Bytes(),
+		OnConnection:    func() { d.connected.Store(true) },
 		OnStall:         func(stall pooler.Stall) bool { return f.handleSilence(ctx, d, stall.Timeouts) },
 		OnProgress:      func() bool { return f.handleProgress(ctx, d) },
 		OnInformational: d.recordProgress,
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -25,6 +25,8 @@
 	succession *succession
 	// successor is that attempt once this one is given up for it.
 	successor atomic.Pointer[successor]
+	// connected is set once there is a connection for the attempt: it may be sent from then on.
+	connected atomic.Bool
 	// waiting is set while the last that the owner told is that the attempt waits, and that
 	// it will tell before it dispatches it.
 	waiting atomic.Bool
@@ -74,6 +76,9 @@
 	d.known = d.known.WithNodeEnd(now.Add(time.Duration(left) * time.Millisecond))
 }
 
+// mayBeAtWork reports whether a backend server may be at work on the attempt while it is in flight.
+func (d *delivery) mayBeAtWork() bool { return d.connected.Load() && !d.waiting.Load() }
+
 // update changes what is known about the attempt.
 func (d *delivery) update(change func(arbiter.Attempt) arbiter.Attempt) {
 	d.mu.Lock()
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -7,14 +7,18 @@
 	"cowsliptally.example/cowsliptally/drainer"
 )
 
+// writeTime is the time before the end of a node in which it makes no more calls about requests, but writes
+// their answers.
+const writeTime = 50 * time.Millisecond
+
 // stopTimes are the times of the stop of a node.
 type stopTimes struct {
-	since, abort time.Time
+	since, abort, end time.Time
 }
 
-// Stop tells since when the node stops, and when it aborts the requests in flight.
-func (f *Forwarder) Stop(since, abort time.Time) {
-	f.stopping.Store(&stopTimes{since: since, abort: abort})
+// Stop tells since when the node stops, when it aborts all requests in flight, and when it ends.
+func (f *Forwarder) Stop(since, abort, end time.Time) {
+	f.stopping.Store(&stopTimes{since: since, abort: abort, end: end})
 }
 
 // latestAnswer returns until when a submission may be answered: its deadline, or the time at which this
@@ -29,6 +33,19 @@
 // Drain refuses new requests; those in flight continue.
 func (f *Forwarder) Drain() { f.work.Close(drainer.Requests) }
 
+// callTimeout returns the time limit of a call to another node without which a request is not answered.
+func (f *Forwarder) callTimeout() time.Duration {
+	stopping := f.stopping.Load()
+	if stopping == nil {
+		return peerCallTimeout
+	}
+	return min(peerCallTimeout, stopping.end.Add(-writeTime).Sub(f.clock.Now()))
+}
+
+// AbortWaiting aborts the requests in flight at which no backend server can be at work. Those that go on are
+// counted as drainer.LateRequests.
+func (f *Forwarder) AbortWaiting() { f.abortWaiting() }
+
 // Abort aborts the requests in flight as if their deadlines had passed, so that their
 // callers get an answer before the node stops.
 func (f *Forwarder) Abort() { f.abort() }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -59,9 +59,10 @@
 	maxAnswerSize int64
 	timeout       time.Duration
 	writeTimeout  time.Duration
-	// abortContext is cancelled when the requests in flight are to be aborted.
-	abortContext context.Context
-	abort        context.CancelFunc
+	// waitingContext is cancelled when the requests in flight that only wait are to be aborted, and
+	// abortContext when all are.
+	waitingContext, abortContext context.Context
+	abortWaiting, abort          context.CancelFunc
 	// stopping is when the node was told to stop and when it aborts requests; nil while it does not stop.
 	stopping          atomic.Pointer[stopTimes]
 	maxNoWaitAttempts int
@@ -99,6 +100,7 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.waitingContext, f.abortWaiting = context.WithCancel(context.Background())
 	f.abortContext, f.abort = context.WithCancel(context.Background())
 	f.setDefaults()
 	return f
@@ -151,7 +153,8 @@
 			refused(fleet.ReasonDraining, "this node shuts down; ask another one"))
 		return
 	}
-	defer f.work.Leave(drainer.Requests)
+	progress := &stage{work: f.work}
+	defer progress.leave()
 	if !f.configurations.Ready() {
 		f.refuse(w, &submission{id: fleet.RequestID(r.Header.Get(fleet.HeaderRequestID))},
 			refused(fleet.ReasonNotReady, "this node knows no configuration yet"))
@@ -170,8 +173,9 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	s.keep = context.AfterFunc(f.abortContext, func() { end(context.DeadlineExceeded) })
-	defer s.keep()
+	s.stage, progress.end = progress, end
+	defer context.AfterFunc(f.waitingContext, progress.abortWaiting)()
+	defer context.AfterFunc(f.abortContext, progress.abort)()
 	if refusal := f.accept(ctx, w, s); refusal != nil {
 		f.refuse(w, s, refusal)
 		return
@@ -184,7 +188,7 @@
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, s *submission) {
 	r := f.execute(ctx, s)
 	defer r.close()
-	if s.mayHaveRun && r.outcome.Executed == fleet.ExecutedNo {
+	if s.stage.mayHaveRun() && r.outcome.Executed == fleet.ExecutedNo {
 		// Only the last attempt is proved not to have run; an earlier one may have.
 		r.outcome.Executed = fleet.ExecutedUnknown
 	}
@@ -192,7 +196,7 @@
 		f.holdUnending(ctx, s, r)
 	}
 	if r.answered() {
-		s.keep() // there is no other answer to give in the place of one that is being written
+		s.stage.answer()
 		f.recorder.Record(f.event(fleet.EventRequest, s, strconv.Itoa(r.exchange.Response.StatusCode)))
 		f.writeAnswer(w, s, r)
 		return
--- a/forwarder/grant.go
+++ b/forwarder/grant.go
@@ -67,7 +67,7 @@
 	if !found {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), f.callTimeout())
 	defer cancel()
 	// A key whose release is lost stays granted: it will not run again.
 	_ = f.peers.release(ctx, member.PeerAddress, s.service, s.key, s.holder)
--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -174,7 +174,7 @@
 		}
 		peerHandler(o.dispatcher).ServeHTTP(w, q)
 	}))
-	r.forwarder.Stop(time.Now(), time.Now().Add(ends+left))
+	r.forwarder.Stop(time.Now(), time.Now().Add(ends+left), time.Now().Add(ends+left+time.Second))
 	timer := time.AfterFunc(ends+left, r.forwarder.Abort)
 	defer timer.Stop()
 	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "moved", fleet.HeaderTimeout, "9000")
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -87,7 +87,7 @@
 // ended the connection in order without telling that it dispatched it. An error means that the
 // owner could not be queried.
 func (f *Forwarder) seal(ctx context.Context, d *delivery, ended bool) (bool, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.callTimeout())
 	defer cancel()
 	waited := ended && d.waiting.Load()
 	for try := 1; ; try++ {
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -198,7 +198,12 @@
 // caller has a part already, so that neither another attempt nor another answer can follow.
 func TestStreamedAnswerIsNotCutBeforeTheEnd(t *testing.T) {
 	t.Run("owner hands back", func(t *testing.T) { checkStreamed(t, func(_ *rig, o *owner) { o.handBack() }) })
-	t.Run("ingress aborts", func(t *testing.T) { checkStreamed(t, func(r *rig, _ *owner) { r.forwarder.Abort() }) })
+	t.Run("ingress aborts", func(t *testing.T) {
+		checkStreamed(t, func(r *rig, _ *owner) {
+			r.forwarder.AbortWaiting()
+			r.forwarder.Abort()
+		})
+	})
 }
 
 // checkStreamed stops a node while an answer is passed on.
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -47,8 +47,6 @@
 	revision fleet.Revision
 	// trace describes each attempt: its mode, backend server and owner, result and duration.
 	trace []string
-	// mayHaveRun is set once an attempt ended without proof that it did not run.
-	mayHaveRun bool
 	// retryCost is the cost of the current retry that the owner has to charge to its retry
 	// budget; 0 when it is charged.
 	retryCost float64
@@ -60,8 +58,8 @@
 	uncounted bool
 	// retryAfter is the least time after which an owner that refused it expects room; 0 if none is known.
 	retryAfter time.Duration
-	// keep keeps the submission from being aborted before the node ends.
-	keep func() bool
+	// stage is how far it has got; copies share it.
+	stage *stage
 	// lost holds the owners that could not be queried any more about an attempt.
 	lost []lostOwner
 	// trialNode is the node that permitted the trial run of this suspect request; it is empty
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -76,7 +76,7 @@
 	if !found {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), f.callTimeout())
 	defer cancel()
 	// A permission that is not released expires.
 	_ = f.peers.release(ctx, member.PeerAddress, "", dispatcher.TrialKey(s.identity), s.holder)
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -164,9 +164,7 @@
 // recordAttempt updates the submission after a failed attempt. A request that lost two
 // owners may have killed their VMs, which cannot report it, and is not sent to a third.
 func (s *submission) recordAttempt(directory Directory, last *result) {
-	if last.outcome.Executed == fleet.ExecutedUnknown {
-		s.mayHaveRun = true
-	}
+	s.stage.finish(last.outcome.Executed)
 	s.uncounted = s.uncounted && last.declined()
 	if wait := last.outcome.RetryAfter; wait > 0 && (s.retryAfter == 0 || wait < s.retryAfter) {
 		s.retryAfter = wait
--- a/pooler/message.go
+++ b/pooler/message.go
@@ -20,6 +20,9 @@
 	Request *http.Request
 	// Content is the whole body.
 	Content []byte
+	// OnConnection is called when there is a connection to the recipient, before a byte is written to it; nil
+	// ignores it.
+	OnConnection func()
 	// OnStall is called when no byte was transferred during a whole progress timeout, and
 	// reports whether to cancel the exchange. Nil cancels it.
 	OnStall func(Stall) bool
@@ -31,6 +34,13 @@
 	OnInformational func(textproto.MIMEHeader)
 }
 
+// connected calls OnConnection.
+func (m Message) connected() {
+	if m.OnConnection != nil {
+		m.OnConnection()
+	}
+}
+
 // Stall describes an exchange that makes no progress.
 type Stall struct {
 	// Timeouts is the number of progress timeouts in a row without a byte.
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -187,6 +187,7 @@
 			if info.Reused && (!sound || expired || used.hasRefused(m.ID)) {
 				used.breakOff()
 			}
+			m.connected()
 			w.start(used, info.Reused)
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
