Refuse what entered a dispatcher before it drained

What callers saw: a request whose offer or attempt reached an owner in the moment in which it drains waited there for a slot, up to its time limit, although Drain is to refuse what waits, so that another owner can run it.

Cause: an attempt is counted as work first, then gets the gate of its backend server, and getting a gate opens it. Drain between the two closes the gate, and the attempt opens it again and is queued.

Evidence: found by reading, as a cause of the test of waiting offers that failed once. The new test drains between the two steps; before:

drain_test.go:47: no deadline != no draining --- FAIL: TestDrainRefusesWhatEnteredBeforeIt (10.01s) --- FAIL: TestDrainRefusesWhatEnteredBeforeIt/attempt (5.00s) --- FAIL: TestDrainRefusesWhatEnteredBeforeIt/offer (5.00s)

Change: a drained dispatcher closes a gate instead of opening it. Slots that are reserved for attempts which entered before stay valid.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,6 +79,8 @@
 	due, end time.Time
 	// retired is set once each backend server gets one request at a time.
 	retired bool
+	// drained is set once attempts that wait for a slot are refused.
+	drained bool
 }
 
 // New returns the dispatcher of a node.
@@ -254,6 +256,10 @@
 		}
 		d.gates[backend.ID] = g
 	}
+	if d.drained { // since the attempt entered
+		g.close()
+		return g
+	}
 	g.open(backend.Slots)
 	return g
 }
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -72,6 +72,7 @@
 	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.drained = true
 	for _, g := range d.gates {
 		g.close()
 	}
