Send the waiting offer of its test only once all slots are taken

The test sent five requests at once, to a backend server with four slots, and took one offer in flight at one moment and four attempts at a later one for an offer that waits. The offer could be any of the five, and need not wait yet when the node drains.

The fifth request is sent now once four run, and the drain comes once it waits for a slot; all results are checked as before. If the test fails, it lets the backend server go on, as the test's servers do not close otherwise: a failure took the 10 minutes of go test.

--- a/forwarder/drain_test.go
+++ b/forwarder/drain_test.go
@@ -29,6 +29,20 @@
 	}
 }
 
+// waitForQueue waits until this many attempts wait for a slot of an owner's backend server.
+func waitForQueue(t *testing.T, o *owner, count int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		_, waiting := o.dispatcher.Load(o.backend.ID)
+		if waiting == count {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d attempts wait for a slot, expected %d", waiting, count)
+		}
+	}
+}
+
 // drain closes callers' requests and attempts, and returns a channel that gets the result of
 // the wait for them. It must not have ended yet.
 func drain(t *testing.T, work *drainer.Drainer) <-chan error {
@@ -98,26 +112,37 @@
 func TestWaitingOfferIsWorkInFlight(t *testing.T) {
 	is := is.New(t)
 	work, l := drainer.New(), newLedger()
-	release := make(chan struct{})
+	arrived, released := make(chan struct{}, 5), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release() // also if the test fails, or the servers do not close
 	r := newRig(t)
 	o := r.addOwner("a", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		<-release
+		arrived <- struct{}{}
+		<-released
 		l.ServeHTTP(w, q)
 	}), dispatcher.WithDrainer(work))
 	var group sync.WaitGroup
 	statuses := make(chan string, 5)
-	for i := range 5 { // one more than there are slots
+	send := func(id int) {
 		group.Go(func() {
-			response, _ := sendRequest(t, r, "POST", "/refund", fmt.Sprint(i))
+			response, _ := sendRequest(t, r, "POST", "/refund", fmt.Sprint(id))
 			statuses <- response.Header.Get("Cowsliptally-Executed")
 		})
 	}
-	waitForWork(t, work, drainer.Offers, 1)
-	waitForWork(t, work, drainer.Attempts, 4)
+	for id := range o.backend.Slots {
+		send(id)
+	}
+	for range o.backend.Slots {
+		<-arrived
+	}
+	send(o.backend.Slots)
+	waitForQueue(t, o, 1)
+	is.Equal(work.InFlight(drainer.Offers), 1)
+	is.Equal(work.InFlight(drainer.Attempts), 4)
 	o.dispatcher.Drain()
 	is.Equal(<-statuses, "no")
 	waitForWork(t, work, drainer.Offers, 0)
-	close(release)
+	release()
 	group.Wait()
 	for range 4 {
 		is.Equal(<-statuses, "yes")
