Tell a dropped idle connection when the write meets its close

What callers saw: a request that may run twice, sent over an idle connection that its backend server had dropped, counted as one that broke at work and was not sent again by its owner.

Cause: on the reset, the reader of net/http closes the connection. If the writer is still at the request then, its error is that of the close, and not that of the reset, by which such a connection is recognised.

A trial with the errors printed, at the one failure:

idle=301.365915ms after=417.441µs err=write tcp ...: use of closed network connection dropped_test.go:58: unknown broken != yes --- FAIL: TestRequestOnADroppedConnectionIsSentAgain/idempotent_true (0.37s)

The connection now remembers a reset that was read.

--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -26,7 +27,10 @@
 	broken, closed atomic.Bool
 	// ended is set when the peer closed the connection in order: all that it wrote was read. An
 	// end before the request was written whole does not count, as it may be a reset.
-	ended  atomic.Bool
+	ended atomic.Bool
+	// reset is set when the peer reset the connection. A write that meets the close which follows does not
+	// tell it.
+	reset  atomic.Bool
 	upload upload
 	// tail holds the last bytes read. Only the goroutine that reads uses it before ended is set.
 	tail [len(headEnd)]byte
@@ -98,6 +102,9 @@
 		read := append(c.tail[:], b[max(0, n-len(c.tail)):n]...)
 		copy(c.tail[:], read[len(read)-len(c.tail):])
 	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.reset.Store(true)
+	}
 	if errors.Is(err, io.EOF) {
 		c.ended.Store(c.upload.stop(c.Conn))
 	}
--- a/pooler/conn_test.go
+++ b/pooler/conn_test.go
@@ -70,3 +70,14 @@
 		})
 	}
 }
+
+// TestResetIsToldThoughAWriteMeetsTheClose guards against a dropped idle connection that counts as one that broke at
+// work: net/http closes it on the reset, and the write of the request fails for the close.
+func TestResetIsToldThoughAWriteMeetsTheClose(t *testing.T) {
+	is := is.New(t)
+	c := &conn{Conn: &scripted{readErr: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}}
+	is.True(!c.wasEnded(net.ErrClosed))
+	_, err := c.receive(make([]byte, 1))
+	is.True(err != nil)
+	is.True(c.wasEnded(net.ErrClosed))
+}
--- a/pooler/idle.go
+++ b/pooler/idle.go
@@ -60,5 +60,5 @@
 
 // wasEnded reports whether the peer ended the connection, in order or not.
 func (c *conn) wasEnded(err error) bool {
-	return c.ended.Load() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return c.ended.Load() || c.reset.Load() || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
