--- a/admitter/stop_test.go
+++ b/admitter/stop_test.go
@@ -40,6 +40,11 @@
 	return decisions[len(decisions)-1]
 }
 
+// stop tells that the node ends in 5.8 s, and that requests have to be done 0.8 s before.
+func (s *stopping) stop() []admitter.Decision {
+	return s.Stop(s.now.Add(5*time.Second), s.now.Add(5800*time.Millisecond), s.now)
+}
+
 func (s *stopping) refuses(kind fleet.RequestKind, repeatable bool) {
 	d := s.arrive(kind, repeatable)
 	s.is.Equal(d.Action, admitter.Refuse)
@@ -56,7 +61,7 @@
 // ends, and against a backend server that is unused although it could serve short ones.
 func TestStoppingOwnerTakesWhatWillBeDone(t *testing.T) {
 	s := newStopping(t)
-	s.Stop(s.now.Add(5*time.Second), s.now)
+	s.stop()
 	s.runs("short", false) // none has taken longer than is left
 	s.runs("short", false)
 	s.refuses("mixed", false) // it may be cut, and may not run again
@@ -75,7 +80,7 @@
 // always has new work, and against one whose backend server is unused until it does.
 func TestRetiringOwnerTakesOneAtATime(t *testing.T) {
 	s := newStopping(t)
-	s.Stop(s.now.Add(5*time.Second), s.now)
+	s.stop()
 	var ids []admitter.ID
 	for range 4 {
 		ids = append(ids, s.runs("short", false))
@@ -105,8 +110,111 @@
 	}
 	s.is.Equal(s.arrive("mixed", false).Action, admitter.Wait)
 	s.is.Equal(s.arrive("short", true).Action, admitter.Wait)
-	decisions := s.Stop(s.now.Add(5*time.Second), s.now)
+	decisions := s.stop()
 	s.is.Equal(len(decisions), 1)
 	s.is.Equal(decisions[0].ID, s.last-1)
 	s.is.Equal(decisions[0].Reason, fleet.ReasonDraining)
 }
+
+// TestStoppingOwnerLeavesTimeForAnotherRun guards against a request that the end of its owner's node cuts when too
+// little time is left for another run, though another owner had a slot when it came.
+func TestStoppingOwnerLeavesTimeForAnotherRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		since, deadline    time.Duration
+		repeatable, noWait bool
+		reason             fleet.Reason
+	}{
+		"deadline before the end":      {500 * time.Millisecond, 5 * time.Second, true, true, ""},
+		"little time after the end":    {1200 * time.Millisecond, 5 * time.Second, true, true, fleet.ReasonBusy},
+		"no owner has a free slot":     {1200 * time.Millisecond, 5 * time.Second, true, false, ""},
+		"deadline just behind the end": {900 * time.Millisecond, 4950 * time.Millisecond, true, true, fleet.ReasonBusy},
+		"as much time after the end":   {2700 * time.Millisecond, 5 * time.Second, true, true, ""},
+		"much time after the end":      {1200 * time.Millisecond, 10 * time.Second, true, true, ""},
+		"must run once, time for each": {1200 * time.Millisecond, 5 * time.Second, false, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStopping(t)
+			s.stop()
+			s.now = s.now.Add(tc.since)
+			s.last++
+			decisions := s.Arrive(admitter.Request{
+				ID: s.last, Kind: "short", Repeatable: tc.repeatable, NoWait: tc.noWait, Weight: 1, Deadline: s.now.Add(tc.deadline),
+			}, s.now)
+			s.is.Equal(decisions[len(decisions)-1].Reason, tc.reason)
+		})
+	}
+}
+
+// TestStoppingOwnerTriesKindsThatItDoesNotKnow guards against a backend server that is unused until its
+// node ends, because that was told to stop before a request of the kind had ended.
+func TestStoppingOwnerTriesKindsThatItDoesNotKnow(t *testing.T) {
+	const (
+		end    = 5 * time.Second
+		target = 2 * time.Second
+	)
+	for name, tc := range map[string]struct {
+		once             bool
+		target, deadline time.Duration
+		after            time.Duration
+		tried            bool
+	}{
+		"its target is before the end":   {target: target, deadline: time.Minute, tried: true},
+		"its target is after the end":    {target: target, deadline: time.Minute, after: end - target},
+		"its deadline is before the end": {deadline: target, tried: true},
+		"neither is":                     {deadline: time.Minute},
+		"its target has passed":          {target: -target, deadline: time.Minute},
+		"it must not run again":          {once: true, target: target, deadline: target},
+		"its target is just before":      {target: target, deadline: time.Minute, after: end - target - time.Millisecond, tried: true},
+		"only its deadline is left":      {target: -target, deadline: target, tried: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			a := admitter.New(4)
+			a.Stop(now.Add(end), now.Add(end), now)
+			now = now.Add(tc.after)
+			arrive := func(id admitter.ID, kind fleet.RequestKind) bool {
+				r := admitter.Request{ID: id, Kind: kind, Repeatable: !tc.once, Weight: 1, Deadline: now.Add(tc.deadline)}
+				if tc.target != 0 {
+					r.Target = now.Add(tc.target)
+				}
+				decisions := a.Arrive(r, now)
+				return decisions[len(decisions)-1].Action == admitter.Run
+			}
+			is.Equal(arrive(1, "new"), tc.tried)
+			if !tc.tried {
+				return
+			}
+			is.True(!arrive(2, "new"))  // one at a time tells how long they take
+			is.True(arrive(3, "other")) // it says nothing of other kinds
+			a.Abandon(1, now)
+			is.True(arrive(4, "new")) // the first one has told nothing
+			a.Done(4, "new", 100*time.Millisecond, now)
+			is.True(arrive(5, "new")) // there is time for what they take
+			is.True(arrive(6, "new"))
+		})
+	}
+}
+
+// TestOneTrialWaitsAtAStoppingOwner guards against requests of a kind that nothing is known of which
+// wait for a slot together, and are refused once the first of them has it.
+func TestOneTrialWaitsAtAStoppingOwner(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := admitter.New(1)
+	arrive := func(id admitter.ID, kind fleet.RequestKind) admitter.Decision {
+		r := admitter.Request{ID: id, Kind: kind, Repeatable: true, Weight: 1, Target: now.Add(time.Second), Deadline: now.Add(time.Minute)}
+		return a.Arrive(r, now)[0]
+	}
+	is.Equal(arrive(1, "old").Action, admitter.Run)
+	is.Equal(arrive(2, "new").Action, admitter.Wait)
+	a.Stop(now.Add(5*time.Second), now.Add(5*time.Second), now)
+	is.Equal(a.Waiting(), 1)
+	d := arrive(4, "new")
+	is.Equal(d.Action, admitter.Refuse)
+	is.Equal(d.Reason, fleet.ReasonDraining)
+	decisions := a.Done(1, "old", time.Millisecond, now)
+	is.Equal(len(decisions), 1)
+	is.Equal(decisions[0].ID, admitter.ID(2))
+	is.Equal(decisions[0].Action, admitter.Run)
+}
--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -14,8 +14,13 @@
 	// searchTime is the time before the end of the owner's node from which a slot for the next attempt
 	// is looked for. In it, owners that are full or stop are asked three times.
 	searchTime = 1050 * time.Millisecond
+	// decisionInterval is the longest time between two decisions about an attempt: the progress timeout.
+	decisionInterval = 350 * time.Millisecond
 	// slotTime is how long a reserved slot is relied on: owners hold it for 0.5 s.
 	slotTime = 400 * time.Millisecond
+	// lateSearchTime is the time before the end of the owner's node from which a slot is reserved for the
+	// next attempt, also if that has little time: the slot is still relied on when the node has ended.
+	lateSearchTime = slotTime - 20*time.Millisecond
 	// minAnswerTime is the least time for which the answer of an ended process is waited for.
 	minAnswerTime = time.Second
 )
@@ -116,6 +121,8 @@
 		return a.nextInSilence(now)
 	case a.timeouts == 0 && a.mustMove(now):
 		return a.nextInSearch(now)
+	case a.timeouts == 0 && a.mustReserve(now):
+		return a.nextBeforeEnd(now)
 	default:
 		return Wait
 	}
@@ -128,6 +135,22 @@
 		a.deadline.Sub(now) >= now.Sub(a.sent)
 }
 
+// mustReserve reports whether the owner's node is about to end the attempt, and another one may follow then.
+func (a Attempt) mustReserve(now time.Time) bool {
+	return a.Stopping() && a.repeatable && a.deadline.Sub(a.nodeEnd) >= minRetryTime && !now.Before(a.nodeEnd.Add(-lateSearchTime))
+}
+
+// IsWorthBeginning reports whether an attempt is to begin at an owner whose node stops while other owners may have a
+// slot: its deadline comes before the end of the node, or another one will have as much time as this one has taken when
+// the last slot is looked for.
+func (a Attempt) IsWorthBeginning() bool {
+	if !a.Stopping() || !a.deadline.After(a.nodeEnd) {
+		return true
+	}
+	last := a.nodeEnd.Add(-searchTime + decisionInterval)
+	return a.repeatable && a.deadline.Sub(last) >= last.Sub(a.sent)
+}
+
 // mayFollow reports whether another attempt may follow this one, and can be in time.
 func (a Attempt) mayFollow(now time.Time) bool {
 	return a.repeatable && a.deadline.Sub(now) >= minRetryTime
@@ -166,6 +189,14 @@
 	}
 }
 
+// nextBeforeEnd returns the next step of an attempt that goes on until the owner's node ends.
+func (a Attempt) nextBeforeEnd(now time.Time) Step {
+	if a.hasSlot(now) || a.search == NoSlot {
+		return Wait
+	}
+	return Reserve
+}
+
 // hasSlot reports whether the slot of the next attempt is still reserved.
 func (a Attempt) hasSlot(now time.Time) bool {
 	return a.search == SlotReserved && now.Sub(a.reservedAt) < slotTime
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -122,3 +122,46 @@
 	ended := a.WithDeadline(start.Add(10*time.Second - 1)).WithEnding(arbiter.NodeEnded)
 	is.Equal(ended.Next(end), arbiter.Search) // it may be faster elsewhere
 }
+
+// TestSlotIsReservedBeforeTheOwnerEnds guards against a search that begins with the end of the owner's node, when the
+// ingress may have no time left for it. The run goes on until then.
+func TestSlotIsReservedBeforeTheOwnerEnds(t *testing.T) {
+	is := is.New(t)
+	end := start.Add(6 * time.Second)
+	late := end.Add(-380 * time.Millisecond)
+	a := arbiter.New(start, end.Add(time.Second)).WithRepeatable(false).WithNodeEnd(end) // less is left than was taken
+	is.Equal(a.Next(late.Add(-1)), arbiter.Wait)
+	is.Equal(a.Next(late), arbiter.Reserve)
+	reserved := a.WithSearch(arbiter.SlotReserved, late)
+	is.Equal(reserved.Next(end), arbiter.Wait)
+	is.Equal(reserved.WithEnding(arbiter.NodeEnded).Next(end), arbiter.Move)
+	is.Equal(a.WithDeadline(end.Add(100*time.Millisecond-1)).Next(late), arbiter.Wait) // too little for another run
+	is.Equal(arbiter.New(start, end.Add(time.Second)).WithNodeEnd(end).Next(late), arbiter.Wait)
+}
+
+// TestAttemptBeginsAtAStoppingOwnerOnlyWithTimeForAnother guards against a run at a stopping owner that ends with its node when
+// less time is left for another one than it has taken.
+func TestAttemptBeginsAtAStoppingOwnerOnlyWithTimeForAnother(t *testing.T) {
+	end := start.Add(4700 * time.Millisecond)
+	for name, tc := range map[string]struct {
+		deadline   time.Duration
+		repeatable bool
+		begins     bool
+	}{
+		"deadline before the end": {4700 * time.Millisecond, false, true},
+		"deadline just behind it": {4701 * time.Millisecond, true, false},
+		"must run once":           {15 * time.Second, false, false},
+		"less than was taken":     {8*time.Second - 1, true, false},
+		"as much as was taken":    {8 * time.Second, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := arbiter.New(start, start.Add(tc.deadline)).WithNodeEnd(end)
+			if tc.repeatable {
+				a = a.WithRepeatable(false)
+			}
+			is.Equal(a.IsWorthBeginning(), tc.begins)
+			is.True(arbiter.New(start, start.Add(tc.deadline)).IsWorthBeginning()) // its node does not stop
+		})
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -74,10 +74,13 @@
 
 	mu    sync.Mutex
 	gates map[fleet.BackendID]*gate
-	// due is when admitted attempts have to be done; zero while the node does not stop.
-	due time.Time
+	// due is when admitted attempts have to be done, and end when the node ends those that are not; zero while
+	// the node does not stop.
+	due, end time.Time
 	// retired is set once each backend server gets one request at a time.
 	retired bool
+	// drained is set once attempts that wait for a slot are refused.
+	drained bool
 }
 
 // New returns the dispatcher of a node.
@@ -246,13 +249,17 @@
 			g.estimator = estimator.New(d.clock.Now())
 		}
 		if !d.due.IsZero() {
-			g.stop(d.due)
+			g.stop(d.due, d.end)
 		}
 		if d.retired {
 			g.retire()
 		}
 		d.gates[backend.ID] = g
 	}
+	if d.drained { // since the attempt entered
+		g.close()
+		return g
+	}
 	g.open(backend.Slots)
 	return g
 }
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -18,9 +18,9 @@
 	d.stopping.stop(end)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.due = due
+	d.due, d.end = due, end
 	for _, g := range d.gates {
-		g.stop(due)
+		g.stop(due, end)
 	}
 }
 
@@ -72,6 +72,7 @@
 	d.work.Close(drainer.Attempts, drainer.LateAttempts, drainer.Offers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.drained = true
 	for _, g := range d.gates {
 		g.close()
 	}
--- a/forwarder/move_test.go
+++ b/forwarder/move_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,12 +14,15 @@
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
 	"cowsliptally.example/cowsliptally/forwarder"
+	"cowsliptally.example/cowsliptally/retrier"
 )
 
-// endingOwner is an owner whose node ends at a time, with an attempt at work that takes some time.
+// endingOwner is an owner whose node ends a time after its first attempt, which takes some time.
 type endingOwner struct {
-	end      time.Time
-	work     time.Duration
+	ends, work time.Duration
+	first      sync.Once
+	// end is set once first is done.
+	end      atomic.Pointer[time.Time]
 	attempts atomic.Int32
 	left     atomic.Bool
 }
@@ -37,6 +41,11 @@
 		return
 	}
 	o.attempts.Add(1)
+	o.first.Do(func() {
+		end := time.Now().Add(o.ends)
+		o.end.Store(&end)
+	})
+	end := *o.end.Load()
 	done, beat := time.After(o.work), time.NewTicker(50*time.Millisecond)
 	defer beat.Stop()
 	for {
@@ -51,19 +60,25 @@
 			return
 		case <-beat.C:
 		}
-		if time.Now().After(o.end) {
+		if time.Now().After(end) {
 			panic(http.ErrAbortHandler)
 		}
-		header.Set(fleet.HeaderEnds, strconv.FormatInt(time.Until(o.end).Milliseconds(), 10))
+		header.Set(fleet.HeaderEnds, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
 		w.WriteHeader(http.StatusProcessing)
 	}
 }
 
+// ended reports whether the node has ended.
+func (o *endingOwner) ended() bool {
+	end := o.end.Load()
+	return end != nil && time.Now().After(*end)
+}
+
 // serveEnding returns a rig whose first owner ends after a time, and whose others have no free slot until another.
 func serveEnding(t *testing.T, ends, work, free time.Duration) (*rig, *endingOwner, *ledger) {
 	r, other := newRig(t, forwarder.WithRetrier(noBudget()), forwarder.WithNoWaitAttempts(3)), newLedger()
 	now := time.Now()
-	ending := &endingOwner{end: now.Add(ends), work: work}
+	ending := &endingOwner{ends: ends, work: work}
 	r.servePeer(r.addOwner("a", newLedger()), ending)
 	for _, name := range []string{"b", "c", "d", "f", "g", "h", "i", "j"} {
 		o := r.addOwner(name, other)
@@ -87,6 +102,7 @@
 	is.Equal(ending.attempts.Load(), int32(1))
 	is.True(took > free-50*time.Millisecond)
 	is.True(took < 2500*time.Millisecond) // before the owner's node ended
+	is.Equal(r.recorded(fleet.EventSearch, "moved", "reserved"), 1)
 }
 
 // TestRequestIsAnsweredThoughItsOwnerEndsWhileOthersAreFull guards against an answer of the ingress's own at
@@ -98,6 +114,7 @@
 	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "searched", fleet.HeaderTimeout, "9000")
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(other.count("searched"), 1)
+	is.True(r.recorded(fleet.EventSearch, "searched", "none") >= 1)
 }
 
 // TestRequestThatEndsBeforeItsOwnerStaysThere guards against a second run of a request that is answered in
@@ -128,6 +145,43 @@
 	}
 }
 
+// TestSlotIsReservedThoughTheIngressEndsSoon guards against a request that finds no owner once its owner's node has ended,
+// in the little time that its own node has left, though another owner had a slot before.
+func TestSlotIsReservedThoughTheIngressEndsSoon(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const (
+		ends = 2500 * time.Millisecond
+		left = 300 * time.Millisecond
+		work = 100 * time.Millisecond
+	)
+	other := newLedger()
+	r := newRig(t, forwarder.WithRetrier(noBudget()), forwarder.WithNoWaitAttempts(3))
+	ending := &endingOwner{ends: ends, work: time.Hour}
+	r.servePeer(r.addOwner("a", newLedger()), ending)
+	o := r.addOwner("b", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(work)
+		other.ServeHTTP(w, q)
+	}))
+	var reserved atomic.Bool
+	r.servePeer(o, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == dispatcher.OfferPath {
+			reserved.Store(true)
+		}
+		if !reserved.Load() || q.URL.Path == dispatcher.OfferPath && ending.ended() {
+			busyUntil(time.Now().Add(time.Hour), nil).ServeHTTP(w, q)
+			return
+		}
+		peerHandler(o.dispatcher).ServeHTTP(w, q)
+	}))
+	r.forwarder.Stop(time.Now(), time.Now().Add(ends+left), time.Now().Add(ends+left+time.Second))
+	timer := time.AfterFunc(ends+left, r.forwarder.Abort)
+	defer timer.Stop()
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "moved", fleet.HeaderTimeout, "9000")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.count("moved"), 1)
+}
+
 // TestLastAttemptIsOfferedAsSuch guards against the last run that a route allows at an owner that stops as
 // well: it takes such a request only if it will be done before its own node ends.
 func TestLastAttemptIsOfferedAsSuch(t *testing.T) {
@@ -156,3 +210,23 @@
 		})
 	}
 }
+
+// TestReservedSlotThatIsNotUsedCostsNoRetry guards against a retry budget that is spent on requests whose stopping
+// owner answers them after all.
+func TestReservedSlotThatIsNotUsedCostsNoRetry(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const ends = 3900 * time.Millisecond // less is left for another attempt than is taken by then
+	budget := retrier.New()
+	r := newRig(t, forwarder.WithRetrier(budget))
+	r.servePeer(r.addOwner("a", newLedger()), &endingOwner{ends: ends, work: ends - 20*time.Millisecond})
+	other := newLedger()
+	r.addOwner("b", other)
+	r.addOwner("c", other)
+	left := budget.Remaining("ledger")
+	response, _ := sendRequest(t, r, "GET", "/", "", fleet.HeaderRequestID, "stays", fleet.HeaderTimeout, "4400")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(other.total(), 0)
+	is.Equal(r.recorded(fleet.EventSearch, "stays", "reserved"), 1)
+	is.True(budget.Remaining("ledger") >= left)
+}
--- a/forwarder/proof.go
+++ b/forwarder/proof.go
@@ -33,11 +33,10 @@
 	if reason == fleet.ReasonCancelled && !d.submission.granted {
 		return unknown(reason, "the caller left")
 	}
+	next := d.following(reason) // before the owner is asked for a proof: a slot is reserved for a moment only
 	r := f.prove(ctx, d, exchange, unknown(reason, err.Error()))
 	r.ownerStopping, _ = d.ownerStopping()
-	if reason == fleet.ReasonStalled || reason == fleet.ReasonStopped {
-		r.successor = d.successor.Load()
-	}
+	r.successor = next
 	return r
 }
 
@@ -88,7 +87,7 @@
 // ended the connection in order without telling that it dispatched it. An error means that the
 // owner could not be queried.
 func (f *Forwarder) seal(ctx context.Context, d *delivery, ended bool) (bool, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerCallTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.callTimeout())
 	defer cancel()
 	waited := ended && d.waiting.Load()
 	for try := 1; ; try++ {
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -9,6 +9,12 @@
 	"cowsliptally.example/cowsliptally/retrier"
 )
 
+// The results of a search for a slot in its event.
+const (
+	searchReserved = "reserved"
+	searchNone     = "none"
+)
+
 // succession is what is needed to find the attempt that follows the present one. It is a copy of
 // the submission's state at the start of the attempt, which is read while the attempt goes on.
 type succession struct {
@@ -24,6 +30,9 @@
 	backend fleet.Backend
 	// retryCost is the cost of the retry that its owner has still to charge.
 	retryCost float64
+	// uncharged is the failure whose retry is charged to this node's budget once the attempt is made; nil if
+	// it is charged already.
+	uncharged *retrier.Attempt
 }
 
 // succession returns what may follow an attempt at a backend server with this number, or nil if
@@ -57,7 +66,8 @@
 }
 
 // reserveNext has another owner reserve a slot for the attempt that follows this one, which is given up
-// for a reason, and charges the retry. It returns nil if none has, or no budget covers the retry.
+// for a reason. It returns nil if none has, or no budget covers the retry. The retry is charged, unless a planned
+// stop is the reason: that is charged beyond what is left, and the present attempt may still be answered.
 func (f *Forwarder) reserveNext(ctx context.Context, n *succession, reason fleet.Reason) *successor {
 	failed := n.failed(f.clock.Now(), reason)
 	cost, allowed := f.retrier.Quote(failed)
@@ -69,7 +79,11 @@
 	state.ran++
 	state.tried = slices.Clone(state.tried)
 	next := f.offerOthers(ctx, &s, &state, n.number)
-	if next != nil && cost == 0 && !f.chargeNext(failed) {
+	switch {
+	case next == nil || cost > 0:
+	case reason == fleet.ReasonStopped:
+		next.uncharged = &failed
+	case !f.chargeNext(failed):
 		return nil
 	}
 	return next
@@ -80,24 +94,37 @@
 func (f *Forwarder) offerOthers(ctx context.Context, s *submission, state *attemptState, number int) *successor {
 	state.candidates = f.directory.Backends(s.service)
 	s.lastAttempt = !f.allowsAnother(s, state, state.ran)
+	refused := 0
 	for range maxBudgetRefusals {
 		backend, found := f.selectOther(s, state)
 		if !found {
-			return nil
+			break
 		}
 		state.tried = append(state.tried, backend.ID)
 		charged, reserved := f.offerNext(ctx, s, backend, number)
-		switch {
-		case !reserved:
-		case charged:
+		if !reserved {
+			refused++
+			continue
+		}
+		f.recordSearch(s, searchReserved, number, refused)
+		if charged {
 			return &successor{backend: backend}
-		default:
-			return &successor{backend: backend, retryCost: s.retryCost}
 		}
+		return &successor{backend: backend, retryCost: s.retryCost}
 	}
+	f.recordSearch(s, searchNone, number, refused)
 	return nil
 }
 
+// recordSearch records the result of a search for a slot for the attempt with this number.
+func (f *Forwarder) recordSearch(s *submission, result string, number, refused int) {
+	f.recorder.Record(fleet.NewEvent(fleet.EventSearch, string(s.id), result,
+		fleet.Figure{Name: "attempt", Value: float64(number)},
+		fleet.Figure{Name: "refused", Value: float64(refused)},
+		fleet.Milliseconds("left", s.deadline.Sub(f.clock.Now())),
+	).WithService(s.service))
+}
+
 // chargeNext charges a retry to this node's budget. What was left when it was offered may be used
 // up by now; the slot is then free again after a while.
 func (f *Forwarder) chargeNext(failed retrier.Attempt) bool {
@@ -134,6 +161,9 @@
 // follow prepares the attempt whose slot is reserved.
 func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
 	s.retryCost = last.successor.retryCost
+	if failed := last.successor.uncharged; failed != nil {
+		f.retrier.Decide(*failed)
+	}
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "owed", Value: s.retryCost},
