--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -294,12 +294,6 @@
 	return d
 }
 
-// refuseNoWait refuses a no-wait attempt.
-func (a *Admitter) refuseNoWait(r Request) Decision {
-	a.endTrial(r.ID)
-	return refusal(r.ID, fleet.ReasonBusy)
-}
-
 func refusal(id ID, reason fleet.Reason) Decision {
 	return Decision{ID: id, Action: Refuse, Reason: reason}
 }
--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -56,7 +56,7 @@
 	if a.stop.retired && a.stop.single != 0 {
 		return true
 	}
-	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now) && !a.triesUnknown(r, now)
+	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now) && !a.admitsUnknownKind(r, now)
 }
 
 // isBetterElsewhere reports whether a request that may run again would have too little time for that if the end of the
--- a/admitter/trial.go
+++ b/admitter/trial.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cowsliptally.example/cowsliptally/fleet"
 )
 
 // admitTrial reports whether a request that would be refused by its expected service time is
@@ -40,13 +42,13 @@
 	return false
 }
 
-// triesUnknown reports whether a stopping owner takes a request although nothing is known of its
+// admitsUnknownKind reports whether a stopping owner takes a request although nothing is known of its
 // kind: one of a kind at a time, which may run again elsewhere and whose target is before requests are due. If
 // the target has passed or there is none, its deadline has to be.
 //
 // Load that this answers: nodes that are stopped within a second or two of their start. A refused
 // kind adds no evidence, so a backend server would be unused until its node ends.
-func (a *Admitter) triesUnknown(r Request, now time.Time) bool {
+func (a *Admitter) admitsUnknownKind(r Request, now time.Time) bool {
 	if !r.Repeatable || a.forecaster.Known(r.Kind) || a.runs(r) || a.waitsBefore(r) {
 		return false
 	}
@@ -61,3 +63,9 @@
 func (a *Admitter) waitsBefore(r Request) bool {
 	return slices.ContainsFunc(a.waiting, func(w Request) bool { return w.Kind == r.Kind && w.ID < r.ID })
 }
+
+// refuseNoWait refuses a no-wait attempt, also one that was admitted as a trial request.
+func (a *Admitter) refuseNoWait(r Request) Decision {
+	a.endTrial(r.ID)
+	return refusal(r.ID, fleet.ReasonBusy)
+}
