--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -153,8 +153,8 @@
 			refused(fleet.ReasonDraining, "this node shuts down; ask another one"))
 		return
 	}
-	progress := &stage{work: f.work}
-	defer progress.leave()
+	current := &stage{work: f.work}
+	defer current.leave()
 	if !f.configurations.Ready() {
 		f.refuse(w, &submission{id: fleet.RequestID(r.Header.Get(fleet.HeaderRequestID))},
 			refused(fleet.ReasonNotReady, "this node knows no configuration yet"))
@@ -173,9 +173,9 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	s.stage, progress.end = progress, end
-	defer context.AfterFunc(f.waitingContext, progress.abortWaiting)()
-	defer context.AfterFunc(f.abortContext, progress.abort)()
+	s.stage, current.end = current, end
+	defer context.AfterFunc(f.waitingContext, current.abortWaiting)()
+	defer context.AfterFunc(f.abortContext, current.abort)()
 	if refusal := f.accept(ctx, w, s); refusal != nil {
 		f.refuse(w, s, refusal)
 		return
