Wait for a slot where a node is known to run on

Cause: once its no-wait attempts are used up, an ingress picks the owner at which it waits among all that are left, although some that it has asked are known to run on. Now it waits at one of these first, once it has met an owner whose node stops. Without stopping owners nothing changes.

TestRequestWaitsOnceWhereItWasRefused fails with that form. Ruled out: further no-wait attempts, which cost a message each and find no slot where all are full.

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -14,7 +14,8 @@
 	tried []fleet.BackendID
 	// leaving holds those whose node stops; they may be selected again after a hand-back.
 	leaving []fleet.BackendID
-	// full holds those that had no free slot; they may be selected again, to wait for a slot.
+	// full holds those that had no free slot and whose nodes are not known to stop; they may be selected again, to
+	// wait for a slot.
 	full []fleet.BackendID
 	// ending holds those that had none and whose nodes stop, where a run may be cut. They are selected again after
 	// the others.
@@ -90,6 +91,23 @@
 	a.passed = attempts - a.ran
 }
 
+// waitsWhereFull reports whether to wait at a backend server that was full before one that was not asked: a node that
+// was asked stops, so others may as well. It does so once; two that are too slow would end the submission.
+func (a *attemptState) waitsWhereFull() bool {
+	return len(a.ending) > 0 && !slices.ContainsFunc(a.full, func(id fleet.BackendID) bool { return slices.Contains(a.tried, id) })
+}
+
+// notFull returns the candidates that were not asked for a free slot, or were but whose nodes stop.
+func (a *attemptState) notFull() []fleet.BackendID {
+	var ids []fleet.BackendID
+	for _, candidate := range a.candidates {
+		if !slices.Contains(a.full, candidate.ID) {
+			ids = append(ids, candidate.ID)
+		}
+	}
+	return ids
+}
+
 // hasUntried reports whether at least count candidates were not tried.
 func (a *attemptState) hasUntried(count int) bool {
 	for _, candidate := range a.candidates {
--- a/forwarder/select_test.go
+++ b/forwarder/select_test.go
@@ -93,7 +93,7 @@
 				{outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}},
 			}
 			if mode == noWait {
-				outcomes = append(outcomes, &result{noWaitRefused: true, outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}})
+				outcomes = append(outcomes, fullResult(false), fullResult(true))
 			}
 			if mode != forced {
 				outcomes = append(outcomes, refused(fleet.ReasonFailing, ""))
@@ -105,3 +105,59 @@
 		}
 	})
 }
+
+// fullResult is the refusal of a no-wait attempt by an owner without a free slot.
+func fullResult(ends bool) *result {
+	return &result{noWaitRefused: true, ownerEnds: ends, outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}}
+}
+
+// newSelection returns a submission whose first no-wait attempt was refused by an owner whose node stops, and the next
+// three by owners that run on without a free slot.
+func newSelection(t *rapid.T) (*Forwarder, *submission, *attemptState) {
+	e := &fakeFleet{random: func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "picked") }}
+	for i := range 8 {
+		e.backends = append(e.backends, fleet.Backend{
+			ID: fleet.BackendID(fmt.Sprint("b", i)), Owner: fleet.NodeID(fmt.Sprint("n", i)), State: fleet.BackendReady,
+		})
+	}
+	f := New("ingress", e, e, e, WithClock(clockwork.NewFakeClock()), WithNoWaitAttempts(3))
+	s := &submission{service: "ledger", content: &collector.Content{}, idempotent: true}
+	state := &attemptState{candidates: e.backends}
+	for number := range 4 {
+		backend, mode, _ := f.selectBackend(s, state)
+		if mode != noWait {
+			t.Fatalf("attempt %d is made in mode %v", number+1, mode)
+		}
+		state.recordAttempt(backend, fullResult(number == 0))
+	}
+	return f, s, state
+}
+
+// TestWaitsForASlotWhereTheNodeIsKnownToRunOn guards against a request that waits at an owner that it has not asked, which
+// stops and cuts its run, while an owner that was full runs on.
+func TestWaitsForASlotWhereTheNodeIsKnownToRunOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, s, state := newSelection(t)
+		backend, mode, _ := f.selectBackend(s, state)
+		if mode != queued || !slices.Contains(state.full, backend.ID) {
+			t.Fatalf("waits at %s, in mode %v, while %v have no slot", backend.ID, mode, state.full)
+		}
+	})
+}
+
+// TestRequestWaitsOnceWhereItWasRefused guards against a request that ends because two full owners are too slow for it,
+// while one that was not asked has a slot.
+func TestRequestWaitsOnceWhereItWasRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, s, state := newSelection(t)
+		backend, _, _ := f.selectBackend(s, state)
+		state.recordAttempt(backend, refused(fleet.ReasonDeadline, ""))
+		excluded := f.selections(s, state)[0].excluded
+		for _, candidate := range state.candidates {
+			if !slices.Contains(excluded, candidate.ID) && !slices.Contains(state.full, candidate.ID) {
+				return
+			}
+		}
+		t.Fatalf("of those that were not asked, none is considered beside %v", state.full)
+	})
+}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -113,38 +113,52 @@
 	return len(state.full) < f.maxNoWaitAttempts && len(state.ending) < maxEnding && len(s.content.Bytes()) <= maxNoWaitBody
 }
 
-// selectBackend picks the next backend server and the mode of the attempt. It prefers one
-// that was not tried and whose owner is reachable; then one that was full, to wait for a
-// slot, at first one whose node does not stop; then a failing one; then one whose owner is unreachable. One at which a slot is reserved
-// goes before all.
+// selection is a way to select a backend server.
+type selection struct {
+	excluded []fleet.BackendID
+	mode     attemptMode
+}
+
+// selectBackend picks the next backend server and the mode of the attempt. A backend server at which a slot is
+// reserved goes before all others.
 func (f *Forwarder) selectBackend(s *submission, state *attemptState) (fleet.Backend, attemptMode, bool) {
 	if state.successor != nil {
 		return state.successor.backend, queued, true
 	}
+	for _, way := range f.selections(s, state) {
+		if backend, found := f.picker.Pick(s.service, state.candidates, way.excluded, s.idempotent); found {
+			return backend, way.mode, true
+		}
+	}
+	return fleet.Backend{}, forced, false
+}
+
+// selections returns the ways to select a backend server, in order of preference: without a wait; with a wait for a slot,
+// where a run may be cut at first at one that was full and whose node is known to run on, and at last at one whose
+// node stops; a failing one; one whose owner is unreachable.
+func (f *Forwarder) selections(s *submission, state *attemptState) []selection {
 	unreachable, failing := f.unavailable(s, state)
 	tried := slices.Concat(state.tried, state.leaving)
-	stages := []struct {
-		excluded []fleet.BackendID
-		mode     attemptMode
-	}{
-		{slices.Concat(tried, state.full, state.ending, state.failing, failing, unreachable), noWait},
-		{slices.Concat(tried, state.ending, state.failing, failing, unreachable), queued},
-		{slices.Concat(tried, state.failing, failing, unreachable), queued},
-		{slices.Concat(tried, state.failing, unreachable), queued},
+	insistent := []selection{
 		{slices.Concat(tried, unreachable), forced},
 		{tried, forced},
 	}
 	if len(state.failing) >= maxFailing {
-		stages = stages[4:]
-	} else if !f.allowsNoWait(s, state) {
-		stages = stages[1:]
+		return insistent
 	}
-	for _, stage := range stages {
-		if backend, found := f.picker.Pick(s.service, state.candidates, stage.excluded, s.idempotent); found {
-			return backend, stage.mode, true
-		}
+	unavailable := slices.Concat(tried, state.failing, failing, unreachable)
+	var ways []selection
+	if f.allowsNoWait(s, state) {
+		ways = append(ways, selection{slices.Concat(unavailable, state.full, state.ending), noWait})
 	}
-	return fleet.Backend{}, forced, false
+	if s.idempotent && state.waitsWhereFull() {
+		ways = append(ways, selection{slices.Concat(unavailable, state.notFull()), queued})
+	}
+	return slices.Concat(ways, []selection{
+		{slices.Concat(unavailable, state.ending), queued},
+		{unavailable, queued},
+		{slices.Concat(tried, state.failing, unreachable), queued},
+	}, insistent)
 }
 
 // unavailable returns the backend servers behind unreachable owners and those that are failing or
