Ask owners for a free slot again after a planned end

A request whose run was ended by a planned stop waited in a queue, at times at an owner that stopped as well, although others had a free slot by then.

Cause: owners that refused no-wait attempts before the run, seconds ago, were kept as full, and used up the no-wait attempts of the request. Refusals as leaving and for lack of time were forgotten already.

Evidence: TestOwnersAreAskedAfreshAfterAPlannedEnd, "the next attempt is made in mode queue" before. The forgotten refusals still do not count as attempts.

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -73,7 +73,8 @@
 	if last.outcome.Reason == fleet.ReasonStopped && !last.reached {
 		// It ran for a while: refusals from before say nothing of the owners that are left, and those
 		// that stopped then may have started again.
-		a.deadlineRefusals, a.leaving = 0, nil
+		a.passed += len(a.full) + len(a.ending)
+		a.deadlineRefusals, a.leaving, a.full, a.ending = 0, nil, nil, nil
 	}
 }
 
--- a/forwarder/select_test.go
+++ b/forwarder/select_test.go
@@ -161,3 +161,19 @@
 		t.Fatalf("of those that were not asked, none is considered beside %v", state.full)
 	})
 }
+
+// TestOwnersAreAskedAfreshAfterAPlannedEnd guards against a request that waits at an owner because others were full
+// seconds ago, before its run.
+func TestOwnersAreAskedAfreshAfterAPlannedEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, s, state := newSelection(t)
+		declined, last := state.declined(), state.full[0]
+		state.recordAttempt(fleet.Backend{ID: last}, unknown(fleet.ReasonStopped, "the node stops"))
+		if _, mode, _ := f.selectBackend(s, state); mode != noWait {
+			t.Fatalf("the next attempt is made in mode %v", mode)
+		}
+		if state.declined() != declined {
+			t.Fatalf("%d attempts do not count, %d did not before", state.declined(), declined)
+		}
+	})
+}
