Count the time of a run from its dispatch

A run that began after a wait in its owner's queue was left to the end of its owner's node, and the next one began up to 1.05 s later than it could have.

Cause: a run moves before the end of its owner's node if another one has as much time as this one has taken, and that counted from when the attempt was sent. Now it counts from its dispatch, which owners tell at once.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -27,6 +27,7 @@
 
 // Attempt is what is known about an attempt. The zero value is one that was just sent.
 type Attempt struct {
+	// sent is when the attempt was sent, or dispatched if it waited for a slot.
 	sent       time.Time
 	deadline   time.Time
 	repeatable bool
@@ -52,6 +53,12 @@
 	return a
 }
 
+// WithDispatch returns a copy that has waited for a slot and was dispatched at a time.
+func (a Attempt) WithDispatch(at time.Time) Attempt {
+	a.sent = at
+	return a
+}
+
 // WithRepeatable returns a copy that another attempt may follow although it may have run. If
 // lastLoss is set, none may follow once its owner counts as lost as well.
 func (a Attempt) WithRepeatable(lastLoss bool) Attempt {
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -61,11 +61,15 @@
 
 // recordProgress records an informational response of the owner.
 func (d *delivery) recordProgress(header textproto.MIMEHeader) {
-	d.waiting.Store(header.Get(fleet.HeaderProgress) == fleet.ProgressWaiting)
+	waits := header.Get(fleet.HeaderProgress) == fleet.ProgressWaiting
+	waited := d.waiting.Swap(waits)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	d.known = d.known.WithProgress(now)
+	if waited && !waits {
+		d.known = d.known.WithDispatch(now)
+	}
 	left, err := strconv.ParseInt(header.Get(fleet.HeaderEnds), 10, 32)
 	if err != nil {
 		return // the owner's node does not stop
