Move requests out of the queues of stopping owners to reserved slots

Callers of requests that may run twice waited in the queue of an owner that was told to stop meanwhile. They began there late and were cut by the end of the node with too little time for another run, or waited on until a second before that end, though others had a slot: 503 after 8 s in the test.

Cause: what a stopping owner's end leaves for another run was asked when an attempt arrived there, and not again for those that waited already.

Now an attempt that waits at an owner whose node stops moves once another one has reserved a slot, if a run that began there now would not be worth beginning. The owner seals it, so that it counts as not run: it uses up no run of its route, and is not charged as a retry. Without a slot it stays.

Ruled out: refusing all that wait at SIGTERM, which gives up their place although all others may be full.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -32,6 +32,8 @@
 	deadline   time.Time
 	repeatable bool
 	lastLoss   bool
+	// waiting is set while it waits for a slot.
+	waiting    bool
 	nodeEnd    time.Time
 	timeouts   int
 	progressAt time.Time
@@ -53,9 +55,17 @@
 	return a
 }
 
-// WithDispatch returns a copy that has waited for a slot and was dispatched at a time.
+// WithWaiting returns a copy that waits for a slot.
+func (a Attempt) WithWaiting() Attempt {
+	a.waiting = true
+	return a
+}
+
+// WithDispatch returns a copy that was dispatched at a time. If it has not waited, it was when it was sent.
 func (a Attempt) WithDispatch(at time.Time) Attempt {
-	a.sent = at
+	if a.waiting {
+		a.waiting, a.sent = false, at
+	}
 	return a
 }
 
@@ -135,11 +145,17 @@
 	}
 }
 
-// mustMove reports whether the owner's node is about to end before the attempt has to, and another attempt
-// has at least the time that this one has taken: it begins anew.
+// mustMove reports whether the attempt waits at an owner where it is not worth beginning, or the owner's node is about
+// to end before the attempt has to, and another attempt has at least the time that this one has taken: it begins anew.
 func (a Attempt) mustMove(now time.Time) bool {
-	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime)) &&
-		a.deadline.Sub(now) >= now.Sub(a.sent)
+	switch {
+	case !a.Stopping() || !a.mayFollow(now) || !a.deadline.After(a.nodeEnd):
+		return false
+	case a.waiting && !a.WithDispatch(now).IsWorthBeginning():
+		return true
+	default:
+		return !now.Before(a.nodeEnd.Add(-searchTime)) && a.deadline.Sub(now) >= now.Sub(a.sent)
+	}
 }
 
 // mustReserve reports whether the owner's node is about to end the attempt, and another one may follow then.
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -62,12 +62,14 @@
 // recordProgress records an informational response of the owner.
 func (d *delivery) recordProgress(header textproto.MIMEHeader) {
 	waits := header.Get(fleet.HeaderProgress) == fleet.ProgressWaiting
-	waited := d.waiting.Swap(waits)
+	d.waiting.Store(waits)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	d.known = d.known.WithProgress(now)
-	if waited && !waits {
+	if waits {
+		d.known = d.known.WithWaiting()
+	} else {
 		d.known = d.known.WithDispatch(now)
 	}
 	left, err := strconv.ParseInt(header.Get(fleet.HeaderEnds), 10, 32)
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -161,7 +161,7 @@
 // follow prepares the attempt whose slot is reserved.
 func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
 	s.retryCost = last.successor.retryCost
-	if failed := last.successor.uncharged; failed != nil {
+	if failed := last.successor.uncharged; failed != nil && last.outcome.Executed != fleet.ExecutedNo {
 		f.retrier.Decide(*failed)
 	}
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
