--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -27,10 +27,13 @@
 
 // Attempt is what is known about an attempt. The zero value is one that was just sent.
 type Attempt struct {
+	// sent is when the attempt was sent, or dispatched if it waited for a slot.
 	sent       time.Time
 	deadline   time.Time
 	repeatable bool
 	lastLoss   bool
+	// waiting is set while it waits for a slot.
+	waiting    bool
 	nodeEnd    time.Time
 	timeouts   int
 	progressAt time.Time
@@ -52,6 +55,20 @@
 	return a
 }
 
+// WithWaiting returns a copy that waits for a slot.
+func (a Attempt) WithWaiting() Attempt {
+	a.waiting = true
+	return a
+}
+
+// WithDispatch returns a copy that was dispatched at a time. If it has not waited, it was when it was sent.
+func (a Attempt) WithDispatch(at time.Time) Attempt {
+	if a.waiting {
+		a.waiting, a.sent = false, at
+	}
+	return a
+}
+
 // WithRepeatable returns a copy that another attempt may follow although it may have run. If
 // lastLoss is set, none may follow once its owner counts as lost as well.
 func (a Attempt) WithRepeatable(lastLoss bool) Attempt {
@@ -128,11 +145,17 @@
 	}
 }
 
-// mustMove reports whether the owner's node is about to end before the attempt has to, and another attempt
-// has at least the time that this one has taken: it begins anew.
+// mustMove reports whether the attempt waits at an owner where it is not worth beginning, or the owner's node is about
+// to end before the attempt has to, and another attempt has at least the time that this one has taken: it begins anew.
 func (a Attempt) mustMove(now time.Time) bool {
-	return a.Stopping() && a.mayFollow(now) && a.deadline.After(a.nodeEnd) && !now.Before(a.nodeEnd.Add(-searchTime)) &&
-		a.deadline.Sub(now) >= now.Sub(a.sent)
+	switch {
+	case !a.Stopping() || !a.mayFollow(now) || !a.deadline.After(a.nodeEnd):
+		return false
+	case a.waiting && !a.WithDispatch(now).IsWorthBeginning():
+		return true
+	default:
+		return !now.Before(a.nodeEnd.Add(-searchTime)) && a.deadline.Sub(now) >= now.Sub(a.sent)
+	}
 }
 
 // mustReserve reports whether the owner's node is about to end the attempt, and another one may follow then.
