Take further requests beside a long one at a stopping owner

Cause, by the logs: from 2.7 s after SIGTERM an owner takes one request at a time, so that its node can end once the others have. One that began 0.15 s later took 2.49 s; 22 others were refused in these two seconds, although the node could not end before that one had. Now one that has taken three times the usual of its kind keeps the next no longer out.

Evidence: TestLongRequestDoesNotKeepARetiringOwnerFromOthers, refused before.

--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -28,7 +28,7 @@
 	end time.Time
 	// retired is set once only one request at a time is admitted.
 	retired bool
-	// single is that request; 0 if there is none.
+	// single is the last of these requests; 0 if it has ended.
 	single ID
 }
 
@@ -42,7 +42,8 @@
 }
 
 // Retire admits one such request at a time from now on, so that the node can end once the others
-// have. It refuses all queued requests.
+// have. One that takes several times the usual keeps the node from ending anyway, so the next is admitted
+// beside it. It refuses all queued requests.
 func (a *Admitter) Retire(now time.Time) []Decision {
 	a.stop.retired = true
 	return a.expire(now)
@@ -53,7 +54,7 @@
 	if a.stop.due.IsZero() {
 		return false
 	}
-	if a.stop.retired && a.stop.single != 0 {
+	if a.stop.retired && a.isSingleAtWork(now) {
 		return true
 	}
 	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now) && !a.admitsUnknownKind(r, now)
@@ -90,6 +91,16 @@
 	return a.run(r, now)
 }
 
+// isSingleAtWork reports whether the last request that was admitted as the only one is at work, and not for long.
+func (a *Admitter) isSingleAtWork(now time.Time) bool {
+	o, running := a.running[a.stop.single]
+	if !running {
+		return false
+	}
+	expected := a.Expected(o.kind, now)
+	return expected == 0 || now.Sub(o.since) < expectedMargin*expected
+}
+
 // endSingle allows the next one if this one has ended.
 func (a *Admitter) endSingle(id ID) {
 	if id == a.stop.single {
--- a/admitter/stop_test.go
+++ b/admitter/stop_test.go
@@ -101,6 +101,24 @@
 	s.runs("short", true)
 }
 
+// TestLongRequestDoesNotKeepARetiringOwnerFromOthers guards against a backend server that is unused while its node waits for
+// one long request.
+func TestLongRequestDoesNotKeepARetiringOwnerFromOthers(t *testing.T) {
+	s := newStopping(t)
+	s.stop()
+	s.Retire(s.now)
+	long := s.runs("short", true)
+	s.now = s.now.Add(299 * time.Millisecond)
+	s.refuses("short", true)
+	s.now = s.now.Add(time.Millisecond)
+	id := s.runs("short", true)
+	s.refuses("short", true)
+	s.Done(long, "short", 300*time.Millisecond, s.now)
+	s.refuses("short", true) // the second one is at work
+	s.Done(id, "short", 100*time.Millisecond, s.now)
+	s.runs("short", true)
+}
+
 // TestQueuedRequestsLeaveAStoppingOwner guards against requests that wait at an owner which will
 // not run them before its node ends.
 func TestQueuedRequestsLeaveAStoppingOwner(t *testing.T) {
