Count moves out of a queue right

Found by a reviewer who had not seen the work; no caller has met it yet.

A request that has run, and whose retry the next owner was to charge, waited at that owner, which was told to stop. It moved without a charge to any budget. One that had moved and was refused by the next owner, as the slot had lapsed, was given up instead of searched for. A move was ended by two refusals for lack of time from before, and the time in a queue still counted as taken while a request waited.

Cause: the steps behind a move took it for granted that the attempt before may have run. Now a move is followed first, whatever was refused before; the request counts as displaced; a retry that is owed is charged; a waiting attempt has taken no time.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -154,10 +154,18 @@
 	case a.waiting && !a.WithDispatch(now).IsWorthBeginning():
 		return true
 	default:
-		return !now.Before(a.nodeEnd.Add(-searchTime)) && a.deadline.Sub(now) >= now.Sub(a.sent)
+		return !now.Before(a.nodeEnd.Add(-searchTime)) && a.deadline.Sub(now) >= a.taken(now)
 	}
 }
 
+// taken returns how long the attempt has been at work at most.
+func (a Attempt) taken(now time.Time) time.Duration {
+	if a.waiting {
+		return 0
+	}
+	return now.Sub(a.sent)
+}
+
 // mustReserve reports whether the owner's node is about to end the attempt, and another one may follow then.
 func (a Attempt) mustReserve(now time.Time) bool {
 	return a.Stopping() && a.repeatable && a.deadline.Sub(a.nodeEnd) >= minRetryTime && !now.Before(a.nodeEnd.Add(-lateSearchTime))
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -25,8 +25,8 @@
 	// ran is the number of attempts that ran or may have run, and ranAt where they did.
 	ran   int
 	ranAt []fleet.BackendID
-	// displaced is set while the last attempt that may have run was ended by a planned stop, or given up
-	// for one that had a slot.
+	// displaced is set while the last attempt that may have run was ended by a planned stop, or the last one that
+	// waited or may have run was given up for one that had a slot.
 	displaced bool
 	// passed is the number of attempts before the present search for a slot that do not count.
 	passed int
@@ -63,15 +63,18 @@
 	case !last.notAttributed || last.outcome.Executed != fleet.ExecutedNo:
 		a.tried = append(a.tried, backend.ID)
 	}
-	if last.outcome.Executed != fleet.ExecutedNo {
+	switch {
+	case last.outcome.Executed != fleet.ExecutedNo:
 		a.ran++
 		a.ranAt = append(a.ranAt, backend.ID)
 		a.displaced = last.outcome.Reason == fleet.ReasonStopped && !last.reached || last.successor != nil
-	} else if last.outcome.Reason == fleet.ReasonDeadline {
+	case last.successor != nil:
+		a.displaced = true
+	case last.outcome.Reason == fleet.ReasonDeadline:
 		a.deadlineRefusals++
 	}
 	if last.outcome.Reason == fleet.ReasonStopped && !last.reached {
-		// It ran for a while: refusals from before say nothing of the owners that are left, and those
+		// It ran or waited for a while: refusals from before say nothing of the owners that are left, and those
 		// that stopped then may have started again.
 		a.passed += len(a.full) + len(a.ending)
 		a.deadlineRefusals, a.leaving, a.full, a.ending = 0, nil, nil, nil
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -158,10 +158,12 @@
 	return false, false
 }
 
-// follow prepares the attempt whose slot is reserved.
+// follow prepares the attempt whose slot is reserved. It is no retry if the one before is proved not to have run, but
+// then a retry that the owner of that one was to charge is still to be charged.
 func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
+	isRetry := last.outcome.Executed != fleet.ExecutedNo || s.retryCost > 0
 	s.retryCost = last.successor.retryCost
-	if failed := last.successor.uncharged; failed != nil && last.outcome.Executed != fleet.ExecutedNo {
+	if failed := last.successor.uncharged; failed != nil && isRetry {
 		f.retrier.Decide(*failed)
 	}
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -73,6 +73,8 @@
 		counted = state.ran // no refusal before uses up an attempt that a planned stop has ended
 	}
 	switch {
+	case last.successor != nil:
+		return f.follow(ctx, s, counted, last)
 	case state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals:
 		return false
 	case state.isRefusedInSearch(last):
@@ -203,8 +205,6 @@
 // one is not counted as a retry.
 func (f *Forwarder) prepareRetry(ctx context.Context, s *submission, number, ran int, last *result) bool {
 	switch {
-	case last.successor != nil:
-		return f.follow(ctx, s, number, last)
 	case last.declined():
 		return ctx.Err() == nil
 	case last.reached || last.outcome.Executed != fleet.ExecutedNo:
