--- a/forwarder/delivery_test.go
+++ b/forwarder/delivery_test.go
@@ -32,7 +32,7 @@
 	is.Equal(d.next(clock.Now()), arbiter.Reserve) // 9 s are left for it, and 3.8 s for another run after 5.2 s of work
 	clock.Advance(4 * time.Second)
 	progress(fleet.ProgressWaiting)
-	is.Equal(d.next(clock.Now()), arbiter.Wait) // what it would have taken by then is left for another run
+	is.Equal(d.next(clock.Now()), arbiter.Wait)                     // what it would have taken by then is left for another run
 	is.Equal(d.next(clock.Now().Add(time.Second)), arbiter.Reserve) // its node is about to end
 	progress(fleet.ProgressDispatched)
 	clock.Advance(time.Second)
