--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -91,7 +91,8 @@
 	return a.run(r, now)
 }
 
-// isSingleAtWork reports whether the last request that was admitted as the only one is at work, and not for long.
+// isSingleAtWork reports whether the last request that was admitted as the only one is at work, and has not yet taken
+// several times the usual of its kind.
 func (a *Admitter) isSingleAtWork(now time.Time) bool {
 	o, running := a.running[a.stop.single]
 	if !running {
--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -61,7 +61,8 @@
 	return a
 }
 
-// WithDispatch returns a copy that was dispatched at a time. If it has not waited, it was when it was sent.
+// WithDispatch returns a copy that was dispatched at a time, from which its work counts. An attempt that has not waited for
+// a slot is returned as it is: its work counts from when it was sent.
 func (a Attempt) WithDispatch(at time.Time) Attempt {
 	if a.waiting {
 		a.waiting, a.sent = false, at
@@ -158,7 +159,7 @@
 	}
 }
 
-// taken returns how long the attempt has been at work at most.
+// taken returns the longest time for which a backend server may have been at work on the attempt.
 func (a Attempt) taken(now time.Time) time.Duration {
 	if a.waiting {
 		return 0
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -158,8 +158,8 @@
 	return false, false
 }
 
-// follow prepares the attempt whose slot is reserved. It is no retry if the one before is proved not to have run, but
-// then a retry that the owner of that one was to charge is still to be charged.
+// follow prepares the attempt whose slot is reserved, and charges it if it is a retry. It is none if the attempt before is
+// proved not to have run, unless that was itself a retry, which its owner charges only when it runs.
 func (f *Forwarder) follow(ctx context.Context, s *submission, number int, last *result) bool {
 	isRetry := last.outcome.Executed != fleet.ExecutedNo || s.retryCost > 0
 	s.retryCost = last.successor.retryCost
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -135,9 +135,9 @@
 	return fleet.Backend{}, forced, false
 }
 
-// selections returns the ways to select a backend server, in order of preference: without a wait; with a wait for a slot,
-// where a run may be cut at first at one that was full and whose node is known to run on, and at last at one whose
-// node stops; a failing one; one whose owner is unreachable.
+// selections returns the ways to select a backend server, in order of preference: without a wait for a slot; then with
+// one, last of all where the node stops; then a failing one; then one whose owner is unreachable. Once a stopping
+// owner has refused the request, it waits first at one that was full: that node is known to run on.
 func (f *Forwarder) selections(s *submission, state *attemptState) []selection {
 	unreachable, failing := f.unavailable(s, state)
 	tried := slices.Concat(state.tried, state.leaving)
