Tell how long ago any node has read the source of the configuration

Each exchange between nodes now tells the age of the newest answered read that the sender knows of. Its gauge is node.readagems; a node logs when no read is known for 10 s, and when there is one again. Older nodes leave the field out.

The position that Progress told becomes a value with the time of that read.

Tests: the line is logged after 10 s without a read and not before, and in a fleet of 120 each node knows of a read within 8 s.

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -32,8 +32,8 @@
 	document      Document
 	configuration fleet.Configuration
 	sourceFailing bool
-	// confirmed is the time of the last successful call to the source.
-	confirmed time.Time
+	// peerRead is the time of the newest answered read of the source by another node.
+	peerRead time.Time
 }
 
 // New returns an adopter without a configuration; Run follows the source.
@@ -82,11 +82,7 @@
 
 // LastConfirmed returns the time of the last successful call to the source, or the zero
 // time before the first one.
-func (a *Adopter) LastConfirmed() time.Time {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	return a.confirmed
-}
+func (a *Adopter) LastConfirmed() time.Time { return a.source.LastAnswer() }
 
 // Run follows the source, and other nodes while it fails, until ctx is done. While this
 // node does not read the source, it only hears of changes from other nodes.
@@ -95,6 +91,7 @@
 	defer background.Wait()
 	background.Go(func() { a.followPeers(ctx) })
 	background.Go(func() { a.notifyChanges(ctx) })
+	background.Go(func() { a.watchReads(ctx) })
 	pause := minPause
 	var read fleet.Revision
 	for ctx.Err() == nil {
@@ -231,9 +228,6 @@
 	a.mu.Lock()
 	changed := a.sourceFailing != (err != nil)
 	a.sourceFailing = err != nil
-	if err == nil {
-		a.confirmed = a.clock.Now()
-	}
 	a.mu.Unlock()
 	switch {
 	case !changed:
--- a/adopter/adopter_test.go
+++ b/adopter/adopter_test.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// LastAnswer returns no time: none of these tests is about it.
+func (s *source) LastAnswer() time.Time { return time.Time{} }
+
 // Decode returns a configuration with one service, named after the content.
 func (s *source) Decode(d adopter.Document) (fleet.Configuration, error) {
 	if string(d.Content) == "unreadable" {
--- a/adopter/delegation_test.go
+++ b/adopter/delegation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,3 +42,64 @@
 	s.next <- document(2)
 	waitFor(t, func() bool { return a.Document().Revision == 2 && notified.Load() == 2 })
 }
+
+// answering is a source that never has a document; a test sets when it last answered.
+type answering struct {
+	source
+	answered atomic.Int64
+}
+
+func (s *answering) LastAnswer() time.Time { return time.UnixMilli(s.answered.Load()) }
+
+// events is a Recorder.
+type events struct {
+	mu      sync.Mutex
+	reasons []string
+}
+
+func (e *events) Record(event fleet.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reasons = append(e.reasons, event.Reason)
+}
+
+func (e *events) last() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.reasons) == 0 {
+		return ""
+	}
+	return e.reasons[len(e.reasons)-1]
+}
+
+// TestSourceThatNobodyReadsIsLogged guards against an outage of the source that leaves no line in
+// the log of any node, as the reads wait. A read by another node is enough.
+func TestSourceThatNobodyReadsIsLogged(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	s := &answering{source: source{next: make(chan any)}}
+	s.answered.Store(clock.Now().UnixMilli())
+	recorded := &events{}
+	a := adopter.New("n1", s, adopter.WithClock(clock), adopter.WithRecorder(recorded))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = a.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	advance := func(seconds int) {
+		for range seconds {
+			is.NoErr(clock.BlockUntilContext(ctx, 1))
+			clock.Advance(time.Second)
+		}
+	}
+	advance(8)
+	a.RecordPeerRead(clock.Now())
+	advance(9)
+	is.Equal(recorded.last(), "")
+	advance(2)
+	waitFor(t, func() bool { return recorded.last() == "read by no node that this one knows of" })
+	a.RecordPeerRead(clock.Now())
+	advance(1)
+	waitFor(t, func() bool { return recorded.last() == "read again by a node" })
+	is.Equal(a.LastRead(), clock.Now().Add(-time.Second))
+}
--- a/adopter/interfaces.go
+++ b/adopter/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cowsliptally.example/cowsliptally/fleet"
 )
@@ -18,6 +19,9 @@
 	// return the zero document when none came within a limit of its own. A document that
 	// comes with an error is valid, but there may be a newer one.
 	Next(ctx context.Context, known fleet.Revision) (Document, error)
+	// LastAnswer returns when the source last answered, also while Next waits, or the zero time
+	// before the first answer. It is safe for concurrent use.
+	LastAnswer() time.Time
 	// Decode decodes a document, which another node may have received.
 	Decode(Document) (fleet.Configuration, error)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,6 +90,7 @@
 	// configurations is the replicator, or the adopter when there is a source.
 	configurations configurations
 	adopter        *adopter.Adopter
+	delegator      *delegator.Delegator
 	replicator     *replicator.Replicator
 	fetcher        *fetcher.Fetcher
 	configurator   *configurator.Configurator
@@ -181,10 +182,10 @@
 
 func (d *Daemon) buildConfiguration() {
 	if d.source != nil {
-		readers := delegator.New(d.self.ID, d.roster.Members, d.settle, delegator.WithClock(d.clock))
+		d.delegator = delegator.New(d.self.ID, d.roster.Members, d.settle, delegator.WithClock(d.clock))
 		d.adopter = adopter.New(d.self.ID, d.source,
 			adopter.WithClock(d.clock),
-			adopter.WithDelegator(readers, func(ctx context.Context) { d.prober.Notify(ctx, readers.Targets()) }),
+			adopter.WithDelegator(d.delegator, func(ctx context.Context) { d.prober.Notify(ctx, d.delegator.Targets()) }),
 			adopter.WithPeers(adopter.NewPeers(d.client), d.roster.Members),
 			adopter.WithRecorder(d.journal))
 		d.configurations = d.adopter
@@ -240,6 +241,10 @@
 // Registrar returns the registrar, to which backend servers of this VM announce themselves.
 func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
 
+// Readers returns the number of nodes that read the source of the configuration. There must be
+// a source.
+func (d *Daemon) Readers() int { return d.delegator.Readers() }
+
 // Contact makes this node known to the nodes at these peer addresses, and them to it.
 func (d *Daemon) Contact(ctx context.Context, addresses []string) { d.prober.Contact(ctx, addresses) }
 
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -38,6 +38,9 @@
 			return 0
 		},
 	}
+	if d.adopter != nil {
+		gauges["node.readagems"] = func() int64 { return d.age(d.adopter.LastRead()) }
+	}
 	var errs []error
 	for name, read := range gauges {
 		errs = append(errs, d.registry.Register(name, metrics.NewFunctionalGauge(read)))
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -28,22 +28,23 @@
 // progress connects the prober with the replicator or the adopter, which are built later.
 type progress struct{ d *Daemon }
 
-// Position returns the revision in force and the first offset not applied here.
-func (p progress) Position() (revision fleet.Revision, nextOffset uint64) {
+// Progress returns the revision in force and what was read for it.
+func (p progress) Progress() fleet.Progress {
 	if p.d.source != nil {
-		return p.d.adopter.Document().Revision, 0
+		return fleet.Progress{Revision: p.d.adopter.Document().Revision, LastRead: p.d.adopter.LastRead()}
 	}
 	state := p.d.replicator.State()
-	return state.Configuration().Revision(), state.NextOffset()
+	return fleet.Progress{Revision: state.Configuration().Revision(), NextOffset: state.NextOffset()}
 }
 
 // RecordPeerProgress passes the progress of another node to the replicator or the adopter.
-func (p progress) RecordPeerProgress(from fleet.Member, revision fleet.Revision, nextOffset uint64) {
+func (p progress) RecordPeerProgress(from fleet.Member, progress fleet.Progress) {
 	if p.d.source != nil {
-		p.d.adopter.RecordPeerRevision(from, revision)
+		p.d.adopter.RecordPeerRevision(from, progress.Revision)
+		p.d.adopter.RecordPeerRead(progress.LastRead)
 		return
 	}
-	p.d.replicator.ObservePeerOffset(nextOffset)
+	p.d.replicator.ObservePeerOffset(progress.NextOffset)
 }
 
 // FetchState returns the replicated state, or nil when it covers no more than knownOffset.
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -70,6 +70,17 @@
 	return !d.clock.Now().Before(d.readsFrom) && selector.New(d.members()).Rank(d.self, readTask) < d.readers
 }
 
+// Readers returns the number of nodes that read the source.
+func (d *Delegator) Readers() int {
+	live := 0
+	for _, m := range d.members() {
+		if m.State == fleet.MemberAlive {
+			live++
+		}
+	}
+	return min(live, d.readers)
+}
+
 // Targets returns the members that this node notifies of a change: a reader those that it
 // is responsible for, another node a few random ones.
 func (d *Delegator) Targets() []fleet.Member {
--- a/prober/configuration_test.go
+++ b/prober/configuration_test.go
@@ -44,6 +44,8 @@
 	node      *node
 	adopter   *adopter.Adopter
 	delegator *delegator.Delegator
+	// answered is when the store last answered; operator.mu guards it.
+	answered time.Time
 }
 
 func (o *operator) add(n *node) *follower {
@@ -114,11 +116,13 @@
 		revision, changed := f.operator.state(f.node.self.ID)
 		if revision > known {
 			f.node.waitUntilThawed()
+			f.recordAnswer()
 			return adopter.Document{Revision: revision, Content: []byte("x")}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
+			f.recordAnswer()
 			return adopter.Document{}, nil
 		case <-ctx.Done():
 			return adopter.Document{}, ctx.Err()
@@ -126,6 +130,12 @@
 	}
 }
 
+func (f *follower) recordAnswer() {
+	f.operator.mu.Lock()
+	defer f.operator.mu.Unlock()
+	f.answered = time.Now()
+}
+
 func (f *follower) Decode(adopter.Document) (fleet.Configuration, error) {
 	return fleet.Configuration{}, nil
 }
@@ -149,10 +159,20 @@
 	return document, ctx.Err()
 }
 
-func (f *follower) Position() (fleet.Revision, uint64) { return f.adopter.Document().Revision, 0 }
+// LastAnswer implements adopter.Source.
+func (f *follower) LastAnswer() time.Time {
+	f.operator.mu.Lock()
+	defer f.operator.mu.Unlock()
+	return f.answered
+}
+
+func (f *follower) Progress() fleet.Progress {
+	return fleet.Progress{Revision: f.adopter.Document().Revision, LastRead: f.adopter.LastRead()}
+}
 
-func (f *follower) RecordPeerProgress(from fleet.Member, revision fleet.Revision, _ uint64) {
-	f.adopter.RecordPeerRevision(from, revision)
+func (f *follower) RecordPeerProgress(from fleet.Member, progress fleet.Progress) {
+	f.adopter.RecordPeerRevision(from, progress.Revision)
+	f.adopter.RecordPeerRead(progress.LastRead)
 }
 
 func (f *follower) FetchState(context.Context, uint64) (*cowsliptallyv1.Checkpoint, error) {
@@ -170,18 +190,41 @@
 	}
 }
 
-func testChanges(t *testing.T, count int) {
-	is := is.New(t)
+// startFollowers starts a fleet whose nodes follow an operator's store, until the test ends.
+func startFollowers(t *testing.T, count int) (*network, *operator, []*node) {
 	w := newNetwork()
 	o := &operator{changed: make(chan struct{}), blind: map[fleet.NodeID]bool{}, nodes: map[fleet.NodeID]*follower{}}
 	w.progress = func(n *node) prober.Progress { return o.add(n) }
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(w.stopAll)
+	t.Cleanup(cancel)
 	nodes := w.fleetOf(count)
 	for _, f := range o.nodes {
 		go func() { _ = f.adopter.Run(ctx) }()
 	}
-	defer w.stopAll()
-	defer cancel()
+	return w, o, nodes
+}
+
+// TestNewestReadIsKnownToAllNodes guards against nodes that take the source for unread while
+// others read it.
+func TestNewestReadIsKnownToAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, o, nodes := startFollowers(t, 120)
+		time.Sleep(30 * time.Second)
+		o.write()
+		written := time.Now()
+		time.Sleep(8 * time.Second)
+		for _, n := range nodes {
+			if last := o.follower(n.self.ID).adopter.LastRead(); last.Before(written) {
+				t.Errorf("%s knows of no read since the change, only of one %s before", n.self.ID, written.Sub(last))
+			}
+		}
+	})
+}
+
+func testChanges(t *testing.T, count int) {
+	is := is.New(t)
+	w, o, nodes := startFollowers(t, count)
 	time.Sleep(10 * time.Second)
 	o.write()
 	time.Sleep(20 * time.Second)
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -1,6 +1,8 @@
 package prober
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"cowsliptally.example/cowsliptally/disseminator"
@@ -17,6 +19,8 @@
 	pushBytes = 4 << 10
 	// fieldBytes is the encoded size of one entry's tag and length.
 	fieldBytes = 3
+	// maxReadAgeMs bounds the age of a read that a message may tell, so that it fits a duration.
+	maxReadAgeMs = 24 * 60 * 60 * 1000
 )
 
 // gossip returns the changes for a probe or its response: the newest ones, those that
@@ -95,11 +99,28 @@
 	}
 	p.budget.AllowN(now, total*copies)
 	p.counters.gossipBytes.Inc(int64(total * copies))
-	revision, nextOffset := p.progress.Position()
-	gossip.Revision, gossip.NextOffset = uint64(revision), nextOffset
+	p.includeProgress(gossip)
 	return gossip
 }
 
+// includeProgress adds this node's progress to a message.
+func (p *Prober) includeProgress(gossip *cowsliptallyv1.Gossip) {
+	progress := p.progress.Progress()
+	gossip.Revision, gossip.NextOffset = uint64(progress.Revision), progress.NextOffset
+	if !progress.LastRead.IsZero() {
+		gossip.ReadAgeMs = uint64(max(1, p.clock.Since(progress.LastRead).Milliseconds()))
+	}
+}
+
+// progressOf returns the progress in a message that has just arrived.
+func (p *Prober) progressOf(gossip *cowsliptallyv1.Gossip) fleet.Progress {
+	progress := fleet.Progress{Revision: fleet.Revision(gossip.GetRevision()), NextOffset: gossip.GetNextOffset()}
+	if age := gossip.GetReadAgeMs(); age > 0 {
+		progress.LastRead = p.clock.Now().Add(-time.Duration(min(age, maxReadAgeMs)) * time.Millisecond)
+	}
+	return progress
+}
+
 func appendTo(gossip *cowsliptallyv1.Gossip, message proto.Message) {
 	switch m := message.(type) {
 	case *cowsliptallyv1.Member:
@@ -164,7 +185,7 @@
 	sender := translator.MemberFromMessage(from)
 	p.mergeMember(sender, true)
 	p.merge(gossip, true)
-	p.progress.RecordPeerProgress(sender, fleet.Revision(gossip.GetRevision()), gossip.GetNextOffset())
+	p.progress.RecordPeerProgress(sender, p.progressOf(gossip))
 }
 
 func (p *Prober) mergeMember(m fleet.Member, spread bool) {
--- a/prober/progress.go
+++ b/prober/progress.go
@@ -9,10 +9,10 @@
 
 // Progress provides this node's replication progress and receives that of its peers.
 type Progress interface {
-	// Position returns the revision in force and the first offset whose record is not yet applied.
-	Position() (revision fleet.Revision, nextOffset uint64)
+	// Progress returns this node's own progress.
+	Progress() fleet.Progress
 	// RecordPeerProgress reports the progress of another node.
-	RecordPeerProgress(from fleet.Member, revision fleet.Revision, nextOffset uint64)
+	RecordPeerProgress(from fleet.Member, progress fleet.Progress)
 	// FetchState returns the replicated state, or nil when it covers no more than knownOffset.
 	FetchState(ctx context.Context, knownOffset uint64) (*cowsliptallyv1.Checkpoint, error)
 }
@@ -20,8 +20,8 @@
 // noProgress has no replicated state.
 type noProgress struct{}
 
-func (noProgress) Position() (fleet.Revision, uint64)                      { return 0, 0 }
-func (noProgress) RecordPeerProgress(fleet.Member, fleet.Revision, uint64) {}
+func (noProgress) Progress() fleet.Progress                        { return fleet.Progress{} }
+func (noProgress) RecordPeerProgress(fleet.Member, fleet.Progress) {}
 func (noProgress) FetchState(context.Context, uint64) (*cowsliptallyv1.Checkpoint, error) {
 	return nil, nil
 }
