Have as many nodes read the configuration as the store bears

Callers at nodes that reached the store were answered by an old configuration for up to 5 s, and got 404 for routes that had been added, while a disruption took the store from many other nodes.

Cause: twelve nodes read the store, chosen by rank among the live ones. Where all twelve were deaf, the nodes that could hear did not read, and the twelve asked nodes that do not read either. Who reads was decided by who lives, not by who reaches the source.

A node that reaches the store so needs no other one to hear. Where not all may read, as many further nodes do for each 10 s in which no answered read is known. Twelve announcers by rank still notify the others, and only they check for a restored store, so that the others cost one call a change. The longest pause after a failed read is 2 s instead of 1 s, since more nodes try.

Ruled out by the logs: slow spreading.

--- a/adopter/option.go
+++ b/adopter/option.go
@@ -13,7 +13,7 @@
 	// minPause and maxPause bound the backoff after a failed call to the source. It
 	// doubles with each failure so that an overloaded source gets fewer calls.
 	minPause = 250 * time.Millisecond
-	maxPause = time.Second
+	maxPause = 2 * time.Second
 	// changePause is the time from a change until the source is queried again, so that
 	// successive changes are fetched in one call. It is a small part of the seconds in
 	// which a change has to be in force.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,6 +76,9 @@
 
 	// source holds the configuration when it does not come from the log service.
 	source adopter.Source
+	// readers returns how many nodes may read the source of a document of some bytes; nil for
+	// the default.
+	readers func(bytes int) int
 	// settle is the time after the start in which this node does not read the source.
 	settle     time.Duration
 	discover   func(context.Context) ([]string, error)
@@ -182,7 +185,7 @@
 
 func (d *Daemon) buildConfiguration() {
 	if d.source != nil {
-		d.delegator = delegator.New(d.self.ID, d.roster.Members, d.settle, delegator.WithClock(d.clock))
+		d.delegator = delegator.New(d.self.ID, d.roster.Members, d.settle, d.delegatorOptions()...)
 		d.adopter = adopter.New(d.self.ID, d.source,
 			adopter.WithClock(d.clock),
 			adopter.WithDelegator(d.delegator, func(ctx context.Context) { d.prober.Notify(ctx, d.delegator.Targets()) }),
@@ -208,6 +211,20 @@
 		checkpointer.WithMaxInterval(d.set.Checkpoint))
 }
 
+// delegatorOptions returns the options of the delegator, which is built before the adopter.
+func (d *Daemon) delegatorOptions() []delegator.Option {
+	options := []delegator.Option{
+		delegator.WithClock(d.clock),
+		delegator.WithLastRead(func() time.Time { return d.adopter.LastRead() }),
+	}
+	if d.readers != nil {
+		options = append(options, delegator.WithReaders(func() int {
+			return d.readers(len(d.adopter.Document().Content))
+		}))
+	}
+	return options
+}
+
 func (d *Daemon) buildHealth() {
 	d.evaluator = evaluator.New(
 		evaluator.WithClock(d.clock),
@@ -241,9 +258,9 @@
 // Registrar returns the registrar, to which backend servers of this VM announce themselves.
 func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
 
-// Readers returns the number of nodes that read the source of the configuration. There must be
-// a source.
-func (d *Daemon) Readers() int { return d.delegator.Readers() }
+// Announces reports whether this node is one of the few that notify all others of a new
+// configuration. There must be a source.
+func (d *Daemon) Announces() bool { return d.delegator.Announces() }
 
 // Contact makes this node known to the nodes at these peer addresses, and them to it.
 func (d *Daemon) Contact(ctx context.Context, addresses []string) { d.prober.Contact(ctx, addresses) }
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -86,6 +86,12 @@
 	return func(d *Daemon) { d.settle = settle }
 }
 
+// WithReaders sets the function that returns how many nodes may read the source of the
+// configuration while its document has a number of bytes. Without it, a fixed number reads.
+func WithReaders(readers func(bytes int) int) Option {
+	return func(d *Daemon) { d.readers = readers }
+}
+
 // WithStop sets what knows when the node was told to stop and records what its shutdown waits
 // for. Without it, a shutdown counts from when Run notices that its context is done.
 func WithStop(stop Stop) Option {
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -121,3 +121,32 @@
 		}
 	}
 }
+
+// TestFurtherNodesReadWhileNoReadIsAnswered guards against a source that nobody reads because all
+// nodes that are chosen by rank fail to reach it.
+func TestFurtherNodesReadWhileNoReadIsAnswered(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	all := members(60)
+	lastRead := time.Time{}
+	var delegators []*delegator.Delegator
+	for _, member := range all {
+		delegators = append(delegators, delegator.New(member.ID, func() []fleet.Member { return all }, 0,
+			delegator.WithClock(clock), delegator.WithLastRead(func() time.Time { return lastRead }),
+			delegator.WithReaders(func() int { return 20 })))
+	}
+	reading := func() (count int) {
+		for _, d := range delegators {
+			if d.Reads() {
+				count++
+			}
+		}
+		return count
+	}
+	for _, wanted := range []int{20, 40, 60, 60} {
+		is.Equal(reading(), wanted)
+		clock.Advance(10 * time.Second)
+	}
+	lastRead = clock.Now()
+	is.Equal(reading(), 20)
+}
--- a/delegator/doc.go
+++ b/delegator/doc.go
@@ -1,4 +1,5 @@
-// Package delegator divides the reading of a source among the nodes of the fleet: a few
-// nodes read it and notify the others, so that the calls to the source do not grow with
-// the fleet. It does no I/O; all nodes decide alike from their own membership tables.
+// Package delegator divides the reading of a source among the nodes of the fleet: as many nodes
+// read it as its rates allow, so that a node that reaches it needs no other one to hear of a
+// change, and they notify the rest. It does no I/O; nodes decide alike from their own
+// membership tables.
 package delegator
