Read at once where others count a node that has just started among the readers

A node of a fleet that starts for the first time leaves the reading to others for 2 s. If it starts again meanwhile, or is added, the others count it among the readers from its first sign of life, though it does not read yet. Now it reads as soon as it knows of an answered read, as it has met a fleet then.

Nodes that a test removes now stop following the store; before, they went on telling others of reads.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -64,28 +64,32 @@
 }
 
 // New returns the delegator of a node. It decides from the members as this node knows
-// them. For the settle time the node does not read, so that it first learns of the others;
-// with 0 it reads at once unless it knows enough others.
+// them. For the settle time the node does not read, so that it first learns of the others. It
+// ends early when the node knows of an answered read: then it has met a fleet that counts it
+// among its readers. With 0 it reads at once unless it knows enough others.
 func New(self fleet.NodeID, members func() []fleet.Member, settle time.Duration, options ...Option) *Delegator {
 	d := &Delegator{
 		self: self, members: members, clock: clockwork.NewRealClock(),
 		readers:   func() int { return DefaultReaders },
+		lastRead:  func() time.Time { return time.Time{} },
 		notifiers: DefaultNotifiers, relays: DefaultRelays,
 	}
 	for _, option := range options {
 		option(d)
 	}
 	d.started = d.clock.Now()
-	if d.lastRead == nil {
-		d.lastRead = d.clock.Now
-	}
 	d.readsFrom = d.clock.Now().Add(settle)
 	return d
 }
 
 // Reads reports whether this node reads the source.
 func (d *Delegator) Reads() bool {
-	return !d.clock.Now().Before(d.readsFrom) && selector.New(d.members()).Rank(d.self, readTask) < d.limit()
+	return !d.settles() && selector.New(d.members()).Rank(d.self, readTask) < d.limit()
+}
+
+// settles reports whether this node does not read yet, as it may not know the others.
+func (d *Delegator) settles() bool {
+	return d.lastRead().IsZero() && d.clock.Now().Before(d.readsFrom)
 }
 
 // limit returns the number of nodes that may read. It grows while no read is answered, since the
--- a/prober/configuration_test.go
+++ b/prober/configuration_test.go
@@ -23,6 +23,8 @@
 const (
 	// applyTime is the time in which a change has to be in force everywhere.
 	applyTime = 2 * time.Second
+	// settleTime is the time in which the nodes of a new fleet find each other.
+	settleTime = 2 * time.Second
 	// longPoll is how long one read of the operator's store waits.
 	longPoll = 30 * time.Second
 )
@@ -36,6 +38,8 @@
 	blind map[fleet.NodeID]bool
 	calls int
 	nodes map[fleet.NodeID]*follower
+	// readers is the number of nodes that may read; 0 is the default.
+	readers int
 }
 
 // follower is a node that follows the operator's store; it is its prober's Progress.
@@ -44,13 +48,22 @@
 	node      *node
 	adopter   *adopter.Adopter
 	delegator *delegator.Delegator
+	stop      context.CancelFunc
 	// answered is when the store last answered; operator.mu guards it.
 	answered time.Time
 }
 
+func newOperator() *operator {
+	return &operator{changed: make(chan struct{}), blind: map[fleet.NodeID]bool{}, nodes: map[fleet.NodeID]*follower{}}
+}
+
 func (o *operator) add(n *node) *follower {
 	f := &follower{operator: o, node: n}
-	f.delegator = delegator.New(n.self.ID, n.roster.Members, 2*time.Second)
+	options := []delegator.Option{delegator.WithLastRead(func() time.Time { return f.adopter.LastRead() })}
+	if o.readers > 0 {
+		options = append(options, delegator.WithReaders(func() int { return o.readers }))
+	}
+	f.delegator = delegator.New(n.self.ID, n.roster.Members, settleTime, options...)
 	f.adopter = adopter.New(n.self.ID, f,
 		adopter.WithClock(pausable{Clock: clockwork.NewRealClock(), node: n}),
 		adopter.WithPeers(f, n.roster.Members),
@@ -77,9 +90,18 @@
 	return o.nodes[id]
 }
 
+// run has a node follow the store until ctx is done or the node is removed.
+func (o *operator) run(ctx context.Context, n *node) {
+	f := o.follower(n.self.ID)
+	ctx, f.stop = context.WithCancel(ctx)
+	go func() { _ = f.adopter.Run(ctx) }()
+}
+
+// remove ends a node that follows the store.
 func (o *operator) remove(id fleet.NodeID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.nodes[id].stop()
 	delete(o.nodes, id)
 }
 
@@ -122,6 +144,9 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
+			if _, changed := f.operator.state(f.node.self.ID); changed == nil {
+				return adopter.Document{}, errors.New("no answer")
+			}
 			f.recordAnswer()
 			return adopter.Document{}, nil
 		case <-ctx.Done():
@@ -193,14 +218,14 @@
 // startFollowers starts a fleet whose nodes follow an operator's store, until the test ends.
 func startFollowers(t *testing.T, count int) (*network, *operator, []*node) {
 	w := newNetwork()
-	o := &operator{changed: make(chan struct{}), blind: map[fleet.NodeID]bool{}, nodes: map[fleet.NodeID]*follower{}}
+	o := newOperator()
 	w.progress = func(n *node) prober.Progress { return o.add(n) }
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(w.stopAll)
 	t.Cleanup(cancel)
 	nodes := w.fleetOf(count)
-	for _, f := range o.nodes {
-		go func() { _ = f.adopter.Run(ctx) }()
+	for _, n := range nodes {
+		o.run(ctx, n)
 	}
 	return w, o, nodes
 }
