Query a node that reported a new configuration several times once

A node that hears of a newer revision queues the address of each report and fetches from one after the other, for up to 0.4 s each. Reports of a revision that is in force by now are passed over, which are many since most nodes read for themselves.

Fetches from different nodes still follow each other, as two at a time would time out on slow links with large documents.

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -25,13 +25,16 @@
 	notify    func(context.Context)
 	// changes holds a value while other nodes are to be notified of a change.
 	changes chan struct{}
-	// newerPeers holds addresses of nodes that reported a newer revision.
-	newerPeers *ring.Ring[string]
+	// newerPeers holds the nodes that reported a newer revision.
+	newerPeers *ring.Ring[newerPeer]
 
 	mu            sync.RWMutex
 	document      Document
 	configuration fleet.Configuration
 	sourceFailing bool
+	// pending holds the newest revisions in newerPeers by address, and that of the node that is
+	// queried.
+	pending map[string]fleet.Revision
 	// peerRead is the time of the newest answered read of the source by another node.
 	peerRead time.Time
 }
@@ -48,7 +51,8 @@
 		delegator:  alwaysReads{},
 		notify:     func(context.Context) {},
 		changes:    make(chan struct{}, 1),
-		newerPeers: ring.New[string](maxPendingPeers),
+		pending:    make(map[string]fleet.Revision),
+		newerPeers: ring.New[newerPeer](maxPendingPeers),
 	}
 	for _, option := range options {
 		option(a)
@@ -127,11 +131,22 @@
 
 // RecordPeerRevision records the revision that another node reported; a newer one is fetched from it.
 func (a *Adopter) RecordPeerRevision(from fleet.Member, revision fleet.Revision) {
-	if revision > a.Document().Revision && from.PeerAddress != "" {
-		a.newerPeers.Push(from.PeerAddress)
+	if revision <= a.Document().Revision || from.PeerAddress == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending[from.PeerAddress] < revision && a.newerPeers.Push(newerPeer{from.PeerAddress, revision}) {
+		a.pending[from.PeerAddress] = revision
 	}
 }
 
+// newerPeer is a node that reported a newer revision.
+type newerPeer struct {
+	address  string
+	revision fleet.Revision
+}
+
 // requestNotification has the other nodes notified of the newest change.
 func (a *Adopter) requestNotification() {
 	select {
@@ -152,14 +167,27 @@
 	}
 }
 
-// followPeers fetches the documents of the nodes in newerPeers until ctx is done.
+// followPeers fetches the documents of the nodes in newerPeers until ctx is done, except where
+// the revision has been adopted meanwhile.
 func (a *Adopter) followPeers(ctx context.Context) {
 	for {
-		address, found := a.newerPeers.Pop(ctx)
+		peer, found := a.newerPeers.Pop(ctx)
 		if !found {
 			return
 		}
-		a.fetch(ctx, address)
+		if peer.revision > a.Document().Revision {
+			a.fetch(ctx, peer.address)
+		}
+		a.removePending(peer)
+	}
+}
+
+// removePending forgets a report unless the node has reported a newer revision since.
+func (a *Adopter) removePending(peer newerPeer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending[peer.address] == peer.revision {
+		delete(a.pending, peer.address)
 	}
 }
 
--- a/adopter/adopter_test.go
+++ b/adopter/adopter_test.go
@@ -159,6 +159,45 @@
 	waitFor(t, func() bool { return a.Document().Revision == 8 })
 }
 
+// silentPeers do not answer, but for the address of one.
+type silentPeers struct {
+	peers
+	calls map[string]int
+}
+
+func (p *silentPeers) Fetch(ctx context.Context, address string, known fleet.Revision) (adopter.Document, error) {
+	p.mu.Lock()
+	p.calls[address]++
+	_, answers := p.documents[address]
+	p.mu.Unlock()
+	if !answers {
+		<-ctx.Done()
+		return adopter.Document{}, ctx.Err()
+	}
+	return p.peers.Fetch(ctx, address, known)
+}
+
+// TestSilentNodeIsQueriedOnceForManyReports guards against a change that is late because a node
+// fell silent after it had reported the change several times.
+func TestSilentNodeIsQueriedOnceForManyReports(t *testing.T) {
+	is := is.New(t)
+	p := &silentPeers{peers: peers{documents: map[string]adopter.Document{"b:1": document(8)}}, calls: map[string]int{}}
+	a, s := start(t, adopter.WithPeers(p, func() []fleet.Member { return nil }))
+	s.next <- document(3)
+	for range 10 {
+		a.RecordPeerRevision(fleet.Member{ID: "n3", PeerAddress: "c:1"}, 8)
+	}
+	for range 2 {
+		a.RecordPeerRevision(fleet.Member{ID: "n2", PeerAddress: "b:1"}, 8)
+	}
+	started := time.Now()
+	waitFor(t, func() bool { return a.Document().Revision == 8 })
+	is.True(time.Since(started) < time.Second)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.Equal(p.calls, map[string]int{"c:1": 1, "b:1": 1})
+}
+
 // TestSuccessiveChangesNeedOneCall guards against a call to the source for each of
 // several changes: after a change the next call comes only after a pause.
 func TestSuccessiveChangesNeedOneCall(t *testing.T) {
