--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -32,10 +32,12 @@
 
 // Delegator decides for one node. It is safe for concurrent use.
 type Delegator struct {
-	self      fleet.NodeID
-	members   func() []fleet.Member
-	clock     clockwork.Clock
-	readers   func() int
+	self    fleet.NodeID
+	members func() []fleet.Member
+	clock   clockwork.Clock
+	// readers returns how many nodes may read while reads are answered.
+	readers func() int
+	// lastRead returns the time of the newest answered read that this node knows of.
 	lastRead  func() time.Time
 	started   time.Time
 	notifiers int
@@ -92,8 +94,8 @@
 	return d.lastRead().IsZero() && d.clock.Now().Before(d.readsFrom)
 }
 
-// limit returns the number of nodes that may read. It grows while no read is answered, since the
-// nodes that read are chosen by rank and need not be those that reach the source.
+// limit returns how many nodes may read now. It grows while no read is answered, since the nodes
+// that read are chosen by rank and need not be those that reach the source.
 func (d *Delegator) limit() int {
 	last := d.lastRead()
 	if last.Before(d.started) {
