--- a/prober/hearing_test.go
+++ b/prober/hearing_test.go
@@ -91,7 +91,7 @@
 		}
 		if each[i] != dead {
 			live = append(live, n)
-			heard = heard || each[i] != deaf
+			heard = heard || each[i] == reaching || each[i] == started
 			ranOn = ranOn || each[i] != started
 		}
 	}
