--- a/prober/hearing_test.go
+++ b/prober/hearing_test.go
@@ -16,8 +16,8 @@
 const (
 	// reaching is a node that lives and reaches the store.
 	reaching condition = iota
-	// deaf is one whose reads wait without an answer from then on.
-	deaf
+	// cutOff is one whose reads of the store wait without an answer from then on.
+	cutOff
 	// dead is one that was killed without an announcement.
 	dead
 	// started is one that has just been killed and started again, and reaches the store.
@@ -76,7 +76,7 @@
 	heard, ranOn := false, false
 	for i, n := range fleet {
 		switch each[i] {
-		case deaf:
+		case cutOff:
 			o.setBlind(n.self.ID, true)
 		case dead, started:
 			o.remove(n.self.ID)
