Say why there are twelve announcers and what the longest pause delays

Comments only. The reason for the number twelve was lost when the readers and the announcers became two numbers, and the pause had none for its length.

--- a/adopter/option.go
+++ b/adopter/option.go
@@ -11,7 +11,8 @@
 
 const (
 	// minPause and maxPause bound the backoff after a failed call to the source. It
-	// doubles with each failure so that an overloaded source gets fewer calls.
+	// doubles with each failure so that an overloaded source gets fewer calls, as all nodes may
+	// read it. maxPause is also how late a node reads a source that it reaches again.
 	minPause = 250 * time.Millisecond
 	maxPause = 2 * time.Second
 	// changePause is the time from a change until the source is queried again, so that
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -15,6 +15,7 @@
 	// DefaultReaders is the number of nodes that read the source if its rates are not known.
 	DefaultReaders = 12
 	// announcerCount is the number of nodes that divide the notification of all others among them.
+	// Failures that only some nodes see, and cuts of an availability zone, leave some of them.
 	announcerCount = 12
 	// takeover is the age of the newest answered read from which as many further nodes read, and
 	// as many again each time that it passes. It is longer than the news of a read takes to reach
