Tell in a search for a slot when the owners that refused end

A search told that owners refused as draining, and not whether their nodes end before or after the request.

--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -54,7 +54,7 @@
 	case last.outcome.Reason == fleet.ReasonBudget:
 		a.budgetRefusals++
 		a.tried = append(a.tried, backend.ID)
-	case last.noWaitRefused && last.ownerEnds:
+	case last.noWaitRefused && !last.ownerEnd.IsZero():
 		a.ending = append(a.ending, backend.ID)
 	case last.noWaitRefused:
 		a.full = append(a.full, backend.ID)
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -20,7 +20,7 @@
 	case executed == fleet.ExecutedNo && reason != "":
 		r := refused(reason, "the owner refused the request")
 		r.outcome.RetryAfter = roomAfter(exchange.Response.Header)
-		r.ownerEnds = exchange.Response.Header.Get(fleet.HeaderEnds) != ""
+		r.ownerEnd = f.endOf(exchange.Response.Header)
 		r.reached = exchange.Response.Header.Get(fleet.HeaderReachedBackend) == "true"
 		r.notAttributed = reason == fleet.ReasonBudget
 		return r
@@ -33,6 +33,15 @@
 	}
 }
 
+// endOf returns when the node of an owner ends by the header of its refusal; zero if it does not stop.
+func (f *Forwarder) endOf(header http.Header) time.Time {
+	left, err := strconv.ParseInt(header.Get(fleet.HeaderEnds), 10, 32)
+	if err != nil {
+		return time.Time{}
+	}
+	return f.clock.Now().Add(time.Duration(left) * time.Millisecond)
+}
+
 // roomAfter returns the time after which an owner that refused a request expects room; 0 if it
 // does not tell.
 func roomAfter(header http.Header) time.Duration {
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -22,8 +22,8 @@
 	lost *lostOwner
 	// reached is set when the backend server itself refused the request.
 	reached bool
-	// ownerEnds is set when the owner refused and told that its node stops.
-	ownerEnds bool
+	// ownerEnd is when the owner's node ends, if it refused and told that it stops; zero otherwise.
+	ownerEnd time.Time
 	// noWaitRefused is set when the owner had no free slot for a no-wait attempt.
 	noWaitRefused bool
 	// brokenInBody is set when the owner's connection ended in the body of an answer.
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -108,7 +109,7 @@
 		state.tried = append(state.tried, backend.ID)
 		charged, refusal := f.offerNext(ctx, s, backend, number)
 		if refusal != nil {
-			refusals = append(refusals, string(refusal.outcome.Reason)+" at "+string(backend.ID))
+			refusals = append(refusals, f.describeRefusal(backend, refusal))
 			if refusal.leaving() {
 				leaving++
 			}
@@ -130,9 +131,20 @@
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "refused", Value: float64(len(refusals))},
 		fleet.Milliseconds("left", s.deadline.Sub(f.clock.Now())),
+		fleet.Milliseconds("until", f.latestAnswer(s).Sub(f.clock.Now())),
 	).WithService(s.service).WithDetail(strings.Join(refusals, ", ")))
 }
 
+// describeRefusal tells why an owner refused an offer, and in which time its node ends if it has told so. A request whose
+// answer is due before that is not cut by that end.
+func (f *Forwarder) describeRefusal(backend fleet.Backend, r *result) string {
+	text := string(r.outcome.Reason) + " at " + string(backend.ID)
+	if r.ownerEnd.IsZero() {
+		return text
+	}
+	return fmt.Sprintf("%s (ends in %dms)", text, r.ownerEnd.Sub(f.clock.Now()).Milliseconds())
+}
+
 // chargeNext charges a retry to this node's budget. What was left when it was offered may be used
 // up by now; the slot is then free again after a while.
 func (f *Forwarder) chargeNext(failed retrier.Attempt) bool {
