Reproduce a refusal for the end of an owner that ends after its request

Two nodes stop, the ingress 0.3 s before the only owner. A request that arrives at the ingress then has 5.0 s until the ingress aborts it and takes 1.7 s; the owner refuses it as draining, so that its caller gets 503 at once.

--- a/admitter/stop_test.go
+++ b/admitter/stop_test.go
@@ -236,3 +236,47 @@
 	is.Equal(decisions[0].ID, admitter.ID(2))
 	is.Equal(decisions[0].Action, admitter.Run)
 }
+
+// TestStoppingOwnerTakesWhatEndsBeforeItDoes guards against a request that a stopping owner refuses for want of time though
+// its deadline, or the end of its ingress, comes before the end of the owner's node.
+func TestStoppingOwnerTakesWhatEndsBeforeItDoes(t *testing.T) {
+	const end = 4300 * time.Millisecond // from the arrival of the request
+	for name, tc := range map[string]struct {
+		kind       fleet.RequestKind
+		repeatable bool
+		left       time.Duration
+		reason     fleet.Reason
+	}{
+		"must run once":                    {"mixed", false, end, ""},
+		"must run once, ends later":        {"mixed", false, end + 1, fleet.ReasonDraining},
+		"must run once, unknown kind":      {"new", false, end, ""},
+		"less than three times its usual":  {"long", true, 3200 * time.Millisecond, ""},
+		"less than its usual":              {"long", true, 2500 * time.Millisecond, fleet.ReasonDeadline},
+		"may run again, ends later":        {"long", true, time.Minute, fleet.ReasonDraining},
+		"may run again, ends with its due": {"long", true, 3500 * time.Millisecond, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStopping(t)
+			s.stop()
+			s.now = s.now.Add(1500 * time.Millisecond)
+			s.last++
+			decisions := s.Arrive(admitter.Request{ID: s.last, Kind: tc.kind, Repeatable: tc.repeatable, Weight: 1, Deadline: s.now.Add(tc.left), NoWait: true}, s.now)
+			s.is.Equal(decisions[len(decisions)-1].Reason, tc.reason)
+		})
+	}
+}
+
+// TestRequestThatEndsFirstWaitsAtAStoppingOwner guards against a queued request that leaves a stopping owner though its
+// deadline comes before the end of the owner's node.
+func TestRequestThatEndsFirstWaitsAtAStoppingOwner(t *testing.T) {
+	s := newStopping(t)
+	var ids []admitter.ID
+	for range 4 {
+		ids = append(ids, s.runs("short", false))
+	}
+	s.last++
+	waiting := admitter.Request{ID: s.last, Kind: "mixed", Weight: 1, Deadline: s.now.Add(4 * time.Second)}
+	s.is.Equal(s.Arrive(waiting, s.now)[0].Action, admitter.Wait)
+	s.is.Equal(len(s.stop()), 0)
+	s.is.Equal(s.Done(ids[0], "short", 100*time.Millisecond, s.now), []admitter.Decision{{ID: waiting.ID, Action: admitter.Run}})
+}
