Tell owners when a stopping ingress aborts the requests that it sends

Callers saw: 503 at once from a stopping ingress for requests that may run again, or that its own backend server could serve, though other nodes had time for them.

Cause: only offers had the last abort of the ingress for their deadline. An attempt that is sent without an offer (may run again, or goes to the own backend server) had the deadline of the request, so a stopping owner took its own end for the limit and refused it.

Change: a new header on attempts of a stopping ingress has the time until its last abort, and counts as the deadline where the owner decides about admission and hand-back. The backend server is told the request's deadline as before. Owners of the build before ignore the header and refuse as they did.

--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -227,7 +227,7 @@
 		Kind:         c.kind,
 		Organisation: c.organisation,
 		Weight:       c.weight,
-		Deadline:     c.deadline,
+		Deadline:     c.ends(),
 		Target:       c.target,
 		Repeatable:   c.repeatable(),
 		NoWait:       c.noWait,
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -13,6 +13,26 @@
 	"cowsliptally.example/cowsliptally/fleet"
 )
 
+// TestStoppingOwnerAdmitsWhatItsIngressAbortsFirst guards against an attempt that a stopping owner refuses though the node of
+// its ingress ends before.
+func TestStoppingOwnerAdmitsWhatItsIngressAbortsFirst(t *testing.T) {
+	for name, tc := range map[string]struct{ aborts, outcome string }{
+		"first":            {"4000", "yes "},
+		"later":            {"6000", "no draining"},
+		"its node goes on": {"", "no draining"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := dispatcher.New("node", newLocal(t))
+			defer d.Close()
+			ticket := send(d, "t", "1", "", "false").Header().Get(fleet.HeaderTicket)
+			d.Stop(time.Now().Add(5*time.Second), time.Now().Add(5*time.Second))
+			answer := send(d, "r", "1", ticket, "false", fleet.HeaderTimeout, "60000", fleet.HeaderAborts, tc.aborts)
+			is.Equal(outcome(answer), tc.outcome)
+		})
+	}
+}
+
 // TestWhatEndsBeforeItsNodeIsNotHandedBack guards against a stopping owner that ends requests at which its
 // backend server works, although the node outlives them.
 func TestWhatEndsBeforeItsNodeIsNotHandedBack(t *testing.T) {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -157,6 +157,9 @@
 	header.Set(fleet.HeaderIdentity, s.identity)
 	header.Set(fleet.HeaderTrial, strconv.FormatBool(s.trialNode != ""))
 	setTimeLeft(header, s.deadline.Sub(now))
+	if latest := f.latestAnswer(s); latest.Before(s.deadline) {
+		header.Set(fleet.HeaderAborts, strconv.FormatInt(max(1, latest.Sub(now).Milliseconds()), 10))
+	}
 	if !s.target.IsZero() {
 		header.Set(fleet.HeaderTarget, strconv.FormatInt(s.target.Sub(now).Milliseconds(), 10))
 	}
--- a/scrubber/scrubber.go
+++ b/scrubber/scrubber.go
@@ -27,6 +27,7 @@
 	fleet.HeaderForced, fleet.HeaderTarget, fleet.HeaderRetryCost, fleet.HeaderLimit,
 	fleet.HeaderPause, fleet.HeaderLeaving, fleet.HeaderLastAttempt, fleet.HeaderKey,
 	fleet.HeaderEarned, fleet.HeaderRetryAfter, fleet.HeaderEnds, fleet.HeaderFollows,
+	fleet.HeaderAborts,
 }
 
 // Retain removes names from the Connection header, so that the headers of these names are kept
