Take a node out of readiness once its backend server has left

Callers saw: requests cut at the last abort of a node that was about to go anyway.

Cause: the node counted as ready until SIGTERM, though it knew that its VM goes. The platform moves callers after two failed checks, a second apart.

It serves what it gets, and is ready again once another backend server announces itself.

Evidence: TestNodeWhoseBackendServerLeftInvitesNoCallers failed before (not true: !ready()). TestAcknowledgedDepartureOutlivesTheProcess waited for the readiness of the node whose backend server has left; it now waits until each node serves a request, which needs a configuration, the membership and a route to a backend server, and so is not weaker.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,8 @@
 	stop     Stop
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
+	// retires is set if the VM is removed once its last backend server has left.
+	retires bool
 	// aborted is set once a shutdown has aborted callers' requests that only wait, and closing while it
 	// waits for those that go on and closes their connections.
 	aborted, closing atomic.Bool
@@ -205,10 +207,24 @@
 		ejector.WithMessenger(evidenceSender{d}))
 }
 
-// Ready reports whether the node can serve callers: it has a configuration, has
-// joined the fleet and is not shutting down.
-func (d *Daemon) Ready() bool {
-	return d.configurations.Ready() && d.prober.Joined() && !d.leaving.Load()
+// Ready reports whether callers are to send new requests here.
+func (d *Daemon) Ready() bool { return d.Unready() == "" }
+
+// Unready returns why callers are to send their new requests to other nodes; empty if the node is ready. It serves those
+// that it gets nevertheless.
+func (d *Daemon) Unready() (why string) {
+	switch {
+	case d.leaving.Load():
+		return "the node stops"
+	case !d.configurations.Ready():
+		return "no configuration is known"
+	case !d.prober.Joined():
+		return "the node has not joined the fleet"
+	case d.retires && d.registrar.IsVacated():
+		return "the backend server has left"
+	default:
+		return ""
+	}
 }
 
 // Registrar returns the registrar, to which backend servers of this VM announce themselves.
--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// markLeft marks the registered backend servers that a function selects as leaving.
+// markLeft marks the registered backend servers that a function selects as leaving. One that has left may not be registered.
 func (r *Registrar) markLeft(selected func(fleet.BackendID) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,6 +87,7 @@
 			r.recordLeft(r.entries[id], "leaves")
 		}
 	}
+	r.vacate()
 }
 
 func (r *Registrar) announce(m *cowsliptallyv1.AnnounceRequest) (uint64, error) {
@@ -114,6 +115,7 @@
 	}
 	e.expires = r.clock.Now().Add(r.lease)
 	announced.Sequence, announced.Left = e.backend.Sequence, e.backend.Left
+	r.vacated = r.vacated && !announced.AcceptsRequests()
 	if announced != e.backend {
 		announced.Sequence++
 		r.change(e, announced, "announced")
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -42,6 +42,8 @@
 	watchers  []Watcher
 	entries   map[fleet.BackendID]*registration
 	lastSweep time.Time
+	// vacated is set once a backend server has left and none that accepts requests is left.
+	vacated bool
 }
 
 // registration is one backend server with its lease.
@@ -146,9 +148,28 @@
 	defer r.mu.Unlock()
 	if e, found := r.entries[id]; found {
 		r.recordLeft(e, "leaves, by its answer")
+		r.vacate()
 	}
 }
 
+// IsVacated reports whether the last backend server of this VM has left, and none has announced itself since. One that
+// crashed has not left.
+func (r *Registrar) IsVacated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.vacated
+}
+
+// vacate records that a backend server has left. The caller holds mu.
+func (r *Registrar) vacate() {
+	for _, e := range r.entries {
+		if e.backend.AcceptsRequests() {
+			return
+		}
+	}
+	r.vacated = true
+}
+
 func (r *Registrar) end(id fleet.BackendID, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -193,6 +214,7 @@
 	}
 	if received.Left && r.directory != nil && r.directory.HasLeft(received.ID, r.node) {
 		r.recordLeft(e, "left, by another node")
+		r.vacate()
 	}
 	if received.Owner != r.node && !r.leased(e) {
 		delete(r.entries, received.ID)
