Keep a node ready while its availability zone is short of nodes

Cause: the platform sends callers to all nodes of a zone, also to those that refuse them, once fewer than half are ready. Nodes whose backend servers had left added to those that are not.

Change: such a node asks its callers to go only while two thirds of the zone's nodes are ready without it. It counts as not ready the nodes that told it that they stop, by their refusals and signs of life, and those whose last backend server has left. evacuator decides, without I/O.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,6 +1,7 @@
 // Package breaker keeps short-lived records of failures: of unreachable nodes, so that
 // requests are routed past a broken path before the membership protocol detects it, and of
-// failing and leaving backend servers, for which their owner refused requests.
+// failing and leaving backend servers, for which their owner refused requests. It also knows the nodes
+// that have told that they stop.
 package breaker
 
 import (
@@ -45,6 +46,8 @@
 	failing map[fleet.BackendID]time.Time
 	// leaving holds the end of the backoff of each leaving backend server.
 	leaving map[leaving]time.Time
+	// ends holds when the nodes end that have told that they stop.
+	ends map[fleet.NodeID]time.Time
 }
 
 // backoff is the state of one unreachable node.
@@ -61,6 +64,7 @@
 		backoffs: make(map[fleet.NodeID]backoff),
 		failing:  make(map[fleet.BackendID]time.Time),
 		leaving:  make(map[leaving]time.Time),
+		ends:     make(map[fleet.NodeID]time.Time),
 	}
 }
 
@@ -123,6 +127,26 @@
 	b.leaving[leaving{id, idempotent}] = now.Add(leavingBackoff)
 }
 
+// RecordEnd records that a node has told that it stops, and when it ends.
+func (b *Breaker) RecordEnd(node fleet.NodeID, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for stopping, end := range b.ends {
+		if !now.Before(end) {
+			delete(b.ends, stopping)
+		}
+	}
+	b.ends[node] = at
+}
+
+// IsStopping reports whether a node has told that it stops, and has not ended yet.
+func (b *Breaker) IsStopping(node fleet.NodeID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.clock.Now().Before(b.ends[node])
+}
+
 // Leaving returns the leaving backend servers among these, for requests that may or may not run twice.
 func (b *Breaker) Leaving(backends []fleet.Backend, idempotent bool) (ids []fleet.BackendID) {
 	b.mu.Lock()
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -52,6 +52,19 @@
 	is.Equal(failing, []fleet.BackendID{"b1"})
 }
 
+// TestNodeStopsUntilTheEndThatItTold guards against a node that counts as stopping for good, or never.
+func TestNodeStopsUntilTheEndThatItTold(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := breaker.New(clock)
+	is.True(!b.IsStopping("n1"))
+	b.RecordEnd("n1", clock.Now().Add(time.Second))
+	is.True(b.IsStopping("n1"))
+	is.True(!b.IsStopping("n2"))
+	clock.Advance(time.Second)
+	is.True(!b.IsStopping("n1"))
+}
+
 // TestLeavingBackendServersAreTriedAgainSoon guards against backend servers that get nothing while
 // their node stops because one refusal is remembered for too long, or for all requests.
 func TestLeavingBackendServersAreTriedAgainSoon(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/drainer"
 	"cowsliptally.example/cowsliptally/ejector"
+	"cowsliptally.example/cowsliptally/evacuator"
 	"cowsliptally.example/cowsliptally/evaluator"
 	"cowsliptally.example/cowsliptally/fetcher"
 	"cowsliptally.example/cowsliptally/fleet"
@@ -220,13 +221,24 @@
 		return "no configuration is known"
 	case !d.prober.Joined():
 		return "the node has not joined the fleet"
-	case d.retires && d.registrar.IsVacated():
+	case d.retires && d.registrar.IsVacated() && d.zone().CanSpare():
 		return "the backend server has left"
 	default:
 		return ""
 	}
 }
 
+// zone returns what is known of the other nodes of this node's availability zone.
+func (d *Daemon) zone() (z evacuator.Zone) {
+	for _, m := range d.roster.Members() {
+		if m.ID == d.self.ID || m.Zone != d.self.Zone || !m.IsLive() {
+			continue
+		}
+		z = z.WithNode(!d.forwarder.IsStopping(m.ID) && !(d.retires && d.roster.IsVacated(m.ID)))
+	}
+	return z
+}
+
 // Registrar returns the registrar, to which backend servers of this VM announce themselves.
 func (d *Daemon) Registrar() *registrar.Registrar { return d.registrar }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -193,7 +193,7 @@
 	f.report(backend, header)
 	if executed := fleet.Executed(header.Get(fleet.HeaderExecuted)); executed != fleet.ExecutedYes {
 		f.recordSuspect(ctx, s, backend.Owner, header)
-		return f.refusedByOwner(exchange, executed)
+		return f.refusedByOwner(backend.Owner, exchange, executed)
 	}
 	content, whole, err := f.answers.CollectPart(response.Body, exchange.BodyLength())
 	if err != nil {
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -21,6 +21,7 @@
 	number     int
 	ticket     string
 	clock      clockwork.Clock
+	stops      stopRecorder
 	// successor is that attempt once this one is given up for it.
 	successor atomic.Pointer[successor]
 	// connected is set once there is a connection for the attempt: it may be sent from then on.
@@ -54,6 +55,11 @@
 	ended bool
 }
 
+// stopRecorder records when nodes end that have told that they stop.
+type stopRecorder interface {
+	RecordEnd(node fleet.NodeID, at time.Time)
+}
+
 // sealAnswer is the answer to a request for a seal. With an error, there was none.
 type sealAnswer struct {
 	sealed bool
@@ -62,7 +68,7 @@
 
 func (f *Forwarder) newDelivery(s *submission, owner fleet.Member, number int) *delivery {
 	d := &delivery{
-		submission: s, owner: owner, number: number, ticket: f.tickets.get(owner.ID), clock: f.clock, succession: s.succession,
+		submission: s, owner: owner, number: number, ticket: f.tickets.get(owner.ID), clock: f.clock, stops: f.breaker, succession: s.succession,
 		known: arbiter.New(f.clock.Now(), s.deadline),
 	}
 	d.superseded, d.supersede = context.WithCancel(context.Background())
@@ -96,7 +102,9 @@
 	if d.stoppingAt.IsZero() {
 		d.stoppingAt = now
 	}
-	d.known = d.known.WithNodeEnd(now.Add(time.Duration(left) * time.Millisecond))
+	end := now.Add(time.Duration(left) * time.Millisecond)
+	d.known = d.known.WithNodeEnd(end)
+	d.stops.RecordEnd(d.owner.ID, end)
 }
 
 // mayBeAtWork reports whether a backend server may be at work on the attempt while it is in flight.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,6 +145,9 @@
 // InFlight returns the number of requests being served.
 func (f *Forwarder) InFlight() int { return f.work.InFlight(drainer.Requests) }
 
+// IsStopping reports whether a node has told this one that it stops.
+func (f *Forwarder) IsStopping(node fleet.NodeID) bool { return f.breaker.IsStopping(node) }
+
 // UnreachableNodes returns the number of unreachable nodes that are in backoff.
 func (f *Forwarder) UnreachableNodes() int { return f.breaker.UnreachableCount() }
 
--- a/forwarder/offer.go
+++ b/forwarder/offer.go
@@ -91,7 +91,7 @@
 		return true, nil
 	}
 	f.recordSuspect(ctx, s, backend.Owner, header)
-	r := f.refusedByOwner(exchange, fleet.Executed(header.Get(fleet.HeaderExecuted)))
+	r := f.refusedByOwner(backend.Owner, exchange, fleet.Executed(header.Get(fleet.HeaderExecuted)))
 	r.outcome.Executed = fleet.ExecutedNo
 	return false, r
 }
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -12,7 +12,7 @@
 
 // refusedByOwner returns the result of an attempt for which the owner returned no answer
 // of its backend server.
-func (f *Forwarder) refusedByOwner(exchange *pooler.Exchange, executed fleet.Executed) *result {
+func (f *Forwarder) refusedByOwner(owner fleet.NodeID, exchange *pooler.Exchange, executed fleet.Executed) *result {
 	defer exchange.Close()
 	reason := fleet.Reason(exchange.Response.Header.Get(fleet.HeaderReason))
 	drain(exchange.Response.Body)
@@ -20,7 +20,9 @@
 	case executed == fleet.ExecutedNo && reason != "":
 		r := refused(reason, "the owner refused the request")
 		r.outcome.RetryAfter = roomAfter(exchange.Response.Header)
-		r.ownerEnd = f.endOf(exchange.Response.Header)
+		if r.ownerEnd = f.endOf(exchange.Response.Header); !r.ownerEnd.IsZero() {
+			f.breaker.RecordEnd(owner, r.ownerEnd)
+		}
 		r.reached = exchange.Response.Header.Get(fleet.HeaderReachedBackend) == "true"
 		r.notAttributed = reason == fleet.ReasonBudget
 		return r
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,6 +133,25 @@
 	return backends
 }
 
+// IsVacated reports whether a backend server of a node has left, and the node has none that accepts requests.
+func (r *Roster) IsVacated(owner fleet.NodeID) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	number, found := r.strings.lookup(string(owner))
+	if !found {
+		return false
+	}
+	left := false
+	for i := r.firstInChain(r.byOwner, number); i != noEntry; i = r.entries[i].sameOwner {
+		b := r.backend(i)
+		if b.AcceptsRequests() {
+			return false
+		}
+		left = left || b.Left
+	}
+	return left
+}
+
 // Size returns the number of nodes and backend servers, tombstones included.
 func (r *Roster) Size() (members, backends int) {
 	r.mu.RLock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -204,3 +204,24 @@
 	is.True(table.PutBackend(again))
 	is.Equal(len(table.Backends("s")), 1)
 }
+
+// TestNodeIsVacatedOnceItsLastBackendServerLeft guards against a node that counts as about to go though a backend server runs there.
+func TestNodeIsVacatedOnceItsLastBackendServerLeft(t *testing.T) {
+	is := is.New(t)
+	r := roster.New()
+	b := fleet.Backend{ID: "b1", Service: "ledger", Owner: "n1", State: fleet.BackendReady, Sequence: 1}
+	is.True(!r.IsVacated("n1"))
+	r.PutBackend(b)
+	is.True(!r.IsVacated("n1"))
+	crashed := b.WithState(fleet.BackendGone)
+	r.PutBackend(crashed)
+	is.True(!r.IsVacated("n1"))
+	left := b
+	left.ID = "b2"
+	r.PutBackend(left.WithLeft())
+	is.True(r.IsVacated("n1"))
+	another := b
+	another.ID = "b3"
+	r.PutBackend(another)
+	is.True(!r.IsVacated("n1"))
+}
