Let the abort of an ingress decide only whether the end of an owner matters

And a retiring owner, which admits one request at a time, took one that it knows to be long, so that all short ones behind it were refused.

Cause: the abort took the place of the deadline at admission, where it also counts for the forecast, though most requests take less than is usual. And what ends before the node does was admitted in the retired phase as well.

Change: the abort is a field of its own. It counts where the end of the node does: for leaving a stopping owner, for no-wait attempts and for the hand-back. In the retired phase only what fits by its kind is admitted, as before these changes.

The hand-back and the removal of the header have tests now.

--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -33,8 +33,9 @@
 }
 
 // Stop tells that the node stops: requests have to be done when they are due, and those that are not run
-// until the node ends. From now on, only requests are admitted that have time left: until their deadline, for the longest
-// of their kind, or, if they may run again elsewhere, for several times the usual or until their target. Queued ones that have
+// until the node ends. From now on, only requests are admitted that end before the node does, by their deadline or by the
+// end of their ingress, or that have time left for the longest of their kind or, if they may run again elsewhere, for
+// several times the usual or until their target. Queued ones that have
 // not are refused, so that they can go elsewhere.
 func (a *Admitter) Stop(due, end, now time.Time) []Decision {
 	a.stop.due, a.stop.end = due, end
@@ -50,7 +51,7 @@
 }
 
 // mustLeave reports whether a request must go elsewhere because the node stops. The end of the node is no reason if the
-// request ends before it anyway.
+// request ends before it anyway; but the only request at a time that is admitted at last should be a short one.
 func (a *Admitter) mustLeave(r Request, now time.Time) bool {
 	if a.stop.due.IsZero() {
 		return false
@@ -58,7 +59,7 @@
 	if a.stop.retired && a.isSingleAtWork(now) {
 		return true
 	}
-	if !r.Deadline.After(a.stop.end) {
+	if !a.stop.retired && !r.ends().After(a.stop.end) {
 		return false
 	}
 	return !a.hasTimeForLongest(r, now) && !a.hasTimeForUsual(r, now) && !a.admitsUnknownKind(r, now)
@@ -70,7 +71,7 @@
 	if a.stop.due.IsZero() || !r.Repeatable || !r.NoWait {
 		return false
 	}
-	return !arbiter.New(now, r.Deadline).WithRepeatable(false).WithNodeEnd(a.stop.end).IsWorthBeginning()
+	return !arbiter.New(now, r.ends()).WithRepeatable(false).WithNodeEnd(a.stop.end).IsWorthBeginning()
 }
 
 // hasTimeForLongest reports whether a request has time left for the longest of its kind.
--- a/admitter/stop_test.go
+++ b/admitter/stop_test.go
@@ -248,26 +248,59 @@
 		kind       fleet.RequestKind
 		repeatable bool
 		left       time.Duration
-		reason     fleet.Reason
+		// abort is when its ingress aborts it; 0 if it does not.
+		abort  time.Duration
+		reason fleet.Reason
 	}{
-		"must run once":                    {"mixed", false, end, ""},
-		"must run once, ends later":        {"mixed", false, end + 1, fleet.ReasonDraining},
-		"must run once, unknown kind":      {"new", false, end, ""},
-		"less than three times its usual":  {"long", true, 3200 * time.Millisecond, ""},
-		"may run again, ends later":        {"long", true, time.Minute, fleet.ReasonDraining},
-		"may run again, ends with its due": {"long", true, 3500 * time.Millisecond, ""},
+		"must run once":                    {"mixed", false, end, 0, ""},
+		"must run once, ends later":        {"mixed", false, end + 1, 0, fleet.ReasonDraining},
+		"must run once, unknown kind":      {"new", false, end, 0, ""},
+		"less than three times its usual":  {"long", true, 3200 * time.Millisecond, 0, ""},
+		"may run again, ends later":        {"long", true, time.Minute, 0, fleet.ReasonDraining},
+		"its ingress ends first":           {"long", true, time.Minute, end, ""},
+		"its ingress ends later":           {"long", true, time.Minute, end + 1, fleet.ReasonDraining},
+		"less than its usual":              {"long", true, time.Minute, 2500 * time.Millisecond, ""},
+		"may run again, ends with its due": {"long", true, 3500 * time.Millisecond, 0, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStopping(t)
 			s.stop()
 			s.now = s.now.Add(1500 * time.Millisecond)
 			s.last++
-			decisions := s.Arrive(admitter.Request{ID: s.last, Kind: tc.kind, Repeatable: tc.repeatable, Weight: 1, Deadline: s.now.Add(tc.left), NoWait: true}, s.now)
+			r := admitter.Request{ID: s.last, Kind: tc.kind, Repeatable: tc.repeatable, Weight: 1, Deadline: s.now.Add(tc.left), NoWait: true}
+			if tc.abort > 0 {
+				r.Abort = s.now.Add(tc.abort)
+			}
+			decisions := s.Arrive(r, s.now)
 			s.is.Equal(decisions[len(decisions)-1].Reason, tc.reason)
 		})
 	}
 }
 
+// TestEndOfAnIngressIsNoReasonToRefuse guards against a request that an owner with a free slot refuses, as it would usually take
+// longer than its ingress has: most take less than the usual.
+func TestEndOfAnIngressIsNoReasonToRefuse(t *testing.T) {
+	s := newStopping(t)
+	s.last++
+	r := admitter.Request{ID: s.last, Kind: "long", Repeatable: true, Weight: 1, Deadline: s.now.Add(time.Minute), Abort: s.now.Add(time.Second)}
+	s.is.Equal(s.Arrive(r, s.now), []admitter.Decision{{ID: r.ID, Action: admitter.Run}})
+}
+
+// TestOnlyRequestOfARetiringOwnerIsShort guards against a long request that takes the only slot from all short ones, as it ends
+// before the node does.
+func TestOnlyRequestOfARetiringOwnerIsShort(t *testing.T) {
+	s := newStopping(t)
+	s.stop()
+	s.Retire(s.now)
+	s.now = s.now.Add(1500 * time.Millisecond)
+	for _, kind := range []fleet.RequestKind{"new", "mixed"} {
+		s.last++
+		decisions := s.Arrive(admitter.Request{ID: s.last, Kind: kind, Weight: 1, Deadline: s.now.Add(4 * time.Second)}, s.now)
+		s.is.Equal(decisions[0].Reason, fleet.ReasonDraining)
+	}
+	s.runs("short", false)
+}
+
 // TestRequestThatEndsFirstWaitsAtAStoppingOwner guards against a queued request that leaves a stopping owner though its
 // deadline comes before the end of the owner's node.
 func TestRequestThatEndsFirstWaitsAtAStoppingOwner(t *testing.T) {
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -41,16 +41,13 @@
 	// target is the time after which an answer loses value; zero if it never does.
 	target   time.Time
 	deadline time.Time
-	// aborted is when its ingress aborts the request; zero if that is not before the deadline.
-	aborted time.Time
+	// abort is when its ingress aborts the request, as that stops; zero if it does not.
+	abort time.Time
 }
 
-// ends returns when the attempt ends at the latest.
-func (c call) ends() time.Time {
-	if c.aborted.IsZero() || c.deadline.Before(c.aborted) {
-		return c.deadline
-	}
-	return c.aborted
+// endsBefore reports whether the attempt ends before a time, by its deadline or by the end of its ingress.
+func (c call) endsBefore(at time.Time) bool {
+	return c.deadline.Before(at) || !c.abort.IsZero() && c.abort.Before(at)
 }
 
 // repeatable reports whether another attempt may follow if this one is cut.
@@ -60,7 +57,7 @@
 // follow that its ingress doesn't find by itself, and this one is unlikely to end here. How long its
 // kind takes here says little of other backend servers.
 func (c call) isHandedBack(now, expectedEnd, nodeEnd time.Time) bool {
-	if !c.repeatable() || c.follows || c.deadline.Sub(now) <= minRetryTime || c.ends().Before(nodeEnd) {
+	if !c.repeatable() || c.follows || c.deadline.Sub(now) <= minRetryTime || c.endsBefore(nodeEnd) {
 		return false
 	}
 	return !expectedEnd.After(now) || expectedEnd.After(nodeEnd)
@@ -112,7 +109,7 @@
 		c.retryCost = cost
 	}
 	if left, err := number(header, fleet.HeaderAborts); err == nil {
-		c.aborted = now.Add(time.Duration(left) * time.Millisecond)
+		c.abort = now.Add(time.Duration(left) * time.Millisecond)
 	}
 	if age, err := number(header, fleet.HeaderEarned); err == nil {
 		c.received = now.Add(-time.Duration(age) * time.Millisecond)
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -43,6 +43,7 @@
 	)
 	for name, tc := range map[string]struct {
 		idempotent, last, follows string
+		aborts                    string
 		usual, timeout            time.Duration
 		outcome                   string
 	}{
@@ -50,6 +51,7 @@
 		"it takes longer than usual":      {idempotent: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "unknown stopped"},
 		"less time left than usual":       {idempotent: "true", usual: time.Second, timeout: nodeEnd + 200*time.Millisecond, outcome: "unknown stopped"},
 		"its deadline is before":          {idempotent: "true", usual: time.Second, timeout: nodeEnd - 100*time.Millisecond, outcome: "yes "},
+		"its ingress ends before":         {idempotent: "true", usual: time.Second, timeout: 5 * time.Second, aborts: "2900", outcome: "yes "},
 		"it is expected to end before":    {idempotent: "true", usual: work, timeout: 5 * time.Second, outcome: "yes "},
 		"time, but no other attempt":      {idempotent: "true", last: "true", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
 		"time, but it must not run again": {idempotent: "false", usual: time.Second, timeout: 5 * time.Second, outcome: "yes "},
@@ -75,7 +77,7 @@
 			end := time.Now().Add(nodeEnd)
 			time.AfterFunc(after, func() { d.HandBack(end) })
 			answer := send(d, "r", "1", ticket, tc.idempotent, fleet.HeaderLastAttempt, tc.last,
-				fleet.HeaderFollows, tc.follows, fleet.HeaderTimeout, strconv.FormatInt(tc.timeout.Milliseconds(), 10))
+				fleet.HeaderFollows, tc.follows, fleet.HeaderAborts, tc.aborts, fleet.HeaderTimeout, strconv.FormatInt(tc.timeout.Milliseconds(), 10))
 			is.Equal(outcome(answer), tc.outcome)
 		})
 	}
--- a/fleet/header.go
+++ b/fleet/header.go
@@ -92,8 +92,8 @@
 	// HeaderFollows carries "true" on an attempt whose ingress finds the next one itself when the
 	// owner's node stops. The owner does not hand it back.
 	HeaderFollows = "Cowsliptally-Follows"
-	// HeaderAborts carries, on an attempt of a node that stops, the milliseconds until it aborts the request. It is set
-	// if that is before the deadline, and counts as the deadline where the owner decides whether to admit the attempt.
+	// HeaderAborts carries, on an attempt of a node that stops, the milliseconds until it aborts the request, if that is
+	// before the deadline. An owner that stops takes the attempt if its own node ends later.
 	HeaderAborts = "Cowsliptally-Aborts"
 )
 
--- a/scrubber/scrubber_test.go
+++ b/scrubber/scrubber_test.go
@@ -17,7 +17,7 @@
 	header := http.Header{}
 	for _, name := range []string{
 		"Connection", "Keep-Alive", "X-Named", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-		"proxy-authorization", fleet.HeaderTicket, fleet.HeaderInFlight, fleet.HeaderServiceTime, fleet.HeaderIdentity,
+		"proxy-authorization", fleet.HeaderTicket, fleet.HeaderInFlight, fleet.HeaderServiceTime, fleet.HeaderIdentity, fleet.HeaderAborts,
 	} {
 		header.Set(name, "x")
 	}
