Count a full owner that ends after the request as one that runs on

Callers saw nothing yet; found by the review. An owner without a free slot that told its end was asked last for waiting, also if that end comes after the last abort of the ingress or the deadline, and used up the no-wait attempts at stopping owners. It is compared with the end of the request now. A test guards that the ends which refusals tell are known.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -32,6 +32,7 @@
 		r = f.sendWithTicket(ctx, s, backend, owner, number, mode)
 	}
 	r.noWaitRefused = mode == noWait && !r.reached && r.outcome.Executed == fleet.ExecutedNo && r.outcome.Reason == fleet.ReasonBusy
+	r.ownerEndsFirst = !r.ownerEnd.IsZero() && r.ownerEnd.Before(f.latestAnswer(s))
 	r.took = f.clock.Since(start)
 	f.recordAbandoned(s, backend, number, r)
 	f.observe(s, backend, r)
--- a/forwarder/attempt_state.go
+++ b/forwarder/attempt_state.go
@@ -14,10 +14,10 @@
 	tried []fleet.BackendID
 	// leaving holds those whose node stops; they may be selected again after a hand-back.
 	leaving []fleet.BackendID
-	// full holds those that had no free slot and whose nodes are not known to stop; they may be selected again, to
-	// wait for a slot.
+	// full holds those that had no free slot and whose nodes are not known to end before the request does; they may be
+	// selected again, to wait for a slot.
 	full []fleet.BackendID
-	// ending holds those that had none and whose nodes stop, where a run may be cut. They are selected again after
+	// ending holds those that had none and whose nodes end first, where a run may be cut. They are selected again after
 	// the others.
 	ending []fleet.BackendID
 	// failing holds those suspected failing; they are used when no other is left.
@@ -54,7 +54,7 @@
 	case last.outcome.Reason == fleet.ReasonBudget:
 		a.budgetRefusals++
 		a.tried = append(a.tried, backend.ID)
-	case last.noWaitRefused && !last.ownerEnd.IsZero():
+	case last.noWaitRefused && last.ownerEndsFirst:
 		a.ending = append(a.ending, backend.ID)
 	case last.noWaitRefused:
 		a.full = append(a.full, backend.ID)
--- a/forwarder/ending_test.go
+++ b/forwarder/ending_test.go
@@ -54,6 +54,8 @@
 			is.Equal(response.StatusCode, http.StatusOK)
 			is.Equal(stopping.count("waits")+running.count("waits"), 1)
 			is.Equal(running.count("waits") == 1, tc.running > 0 && tc.stopping <= 6)
+			is.True(r.forwarder.IsStopping("a")) // by its refusal
+			is.True(!r.forwarder.IsStopping("s"))
 		})
 	}
 }
--- a/forwarder/result.go
+++ b/forwarder/result.go
@@ -24,6 +24,8 @@
 	reached bool
 	// ownerEnd is when the owner's node ends, if it refused and told that it stops; zero otherwise.
 	ownerEnd time.Time
+	// ownerEndsFirst is set if that is before the request is answered or aborted at the latest.
+	ownerEndsFirst bool
 	// noWaitRefused is set when the owner had no free slot for a no-wait attempt.
 	noWaitRefused bool
 	// brokenInBody is set when the owner's connection ended in the body of an answer.
--- a/forwarder/select_test.go
+++ b/forwarder/select_test.go
@@ -109,11 +109,7 @@
 
 // fullResult is the refusal of a no-wait attempt by an owner without a free slot.
 func fullResult(ends bool) *result {
-	r := &result{noWaitRefused: true, outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}}
-	if ends {
-		r.ownerEnd = time.Unix(0, 0)
-	}
-	return r
+	return &result{noWaitRefused: true, ownerEndsFirst: ends, outcome: fleet.Outcome{Executed: fleet.ExecutedNo, Reason: fleet.ReasonBusy}}
 }
 
 // newSelection returns a submission whose first no-wait attempt was refused by an owner whose node stops, and the next
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -135,8 +135,7 @@
 	).WithService(s.service).WithDetail(strings.Join(refusals, ", ")))
 }
 
-// describeRefusal tells why an owner refused an offer, and in which time its node ends if it has told so. A request whose
-// answer is due before that is not cut by that end.
+// describeRefusal tells why an owner refused an offer, and in which time its node ends if it has told so.
 func (f *Forwarder) describeRefusal(backend fleet.Backend, r *result) string {
 	text := string(r.outcome.Reason) + " at " + string(backend.ID)
 	if r.ownerEnd.IsZero() {
