Take a VM as vacated only for a new departure

Found by the review: a repeated deregistration made a VM count as vacated whose next backend server had only crashed, and a node restarted after a departure did not know of it when the backend server announced itself again.

--- a/registrar/handler.go
+++ b/registrar/handler.go
@@ -70,6 +70,7 @@
 		return fault.New("leave", KindInvalid, "%w", err)
 	}
 	r.markLeft(func(registered fleet.BackendID) bool { return registered == id })
+	r.vacateUnknown(id)
 	if err := r.departures.Record(ctx, id); err != nil {
 		return fault.New("leave", KindUnavailable, "departure of backend server %q is not recorded: %w", id, err)
 	}
@@ -78,7 +79,17 @@
 	return nil
 }
 
-// markLeft marks the registered backend servers that a function selects as leaving. One that has left may not be registered.
+// vacateUnknown records the departure of a backend server that is not registered: it announced itself to an earlier
+// process of this node.
+func (r *Registrar) vacateUnknown(id fleet.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, found := r.entries[id]; !found {
+		r.vacate()
+	}
+}
+
+// markLeft marks the registered backend servers that a function selects as leaving.
 func (r *Registrar) markLeft(selected func(fleet.BackendID) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,7 +98,6 @@
 			r.recordLeft(r.entries[id], "leaves")
 		}
 	}
-	r.vacate()
 }
 
 func (r *Registrar) announce(m *cowsliptallyv1.AnnounceRequest) (uint64, error) {
@@ -106,6 +116,7 @@
 			// It left before this node was restarted, or before it was announced here.
 			announced, e.left = announced.WithLeft(), true
 			reason = "announced, but left before"
+			r.vacate()
 		}
 		r.entries[announced.ID] = e
 		r.change(e, announced, reason)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -42,7 +42,7 @@
 	watchers  []Watcher
 	entries   map[fleet.BackendID]*registration
 	lastSweep time.Time
-	// vacated is set once a backend server has left and none that accepts requests is left.
+	// vacated is set once a backend server has left, until another one announces itself.
 	vacated bool
 }
 
@@ -148,7 +148,6 @@
 	defer r.mu.Unlock()
 	if e, found := r.entries[id]; found {
 		r.recordLeft(e, "leaves, by its answer")
-		r.vacate()
 	}
 }
 
@@ -160,7 +159,7 @@
 	return r.vacated
 }
 
-// vacate records that a backend server has left. The caller holds mu.
+// vacate records that a backend server has left, unless another one accepts requests. The caller holds mu.
 func (r *Registrar) vacate() {
 	for _, e := range r.entries {
 		if e.backend.AcceptsRequests() {
@@ -214,7 +213,6 @@
 	}
 	if received.Left && r.directory != nil && r.directory.HasLeft(received.ID, r.node) {
 		r.recordLeft(e, "left, by another node")
-		r.vacate()
 	}
 	if received.Owner != r.node && !r.leased(e) {
 		delete(r.entries, received.ID)
@@ -244,6 +242,7 @@
 		return
 	}
 	r.change(e, e.backend.WithState(fleet.BackendDraining).WithLeft(), reason)
+	r.vacate()
 }
 
 func (r *Registrar) change(e *registration, b fleet.Backend, reason string) {
--- a/registrar/vacancy_test.go
+++ b/registrar/vacancy_test.go
@@ -48,6 +48,8 @@
 		"another one crashed":    {events: []func(*registrar.Registrar){depart("a"), announce("b", ready), func(r *registrar.Registrar) { r.ReportCrash("b") }}},
 		"another one ran before": {events: []func(*registrar.Registrar){announce("a", ready), announce("b", ready), depart("a")}},
 		"both left":              {events: []func(*registrar.Registrar){announce("a", ready), announce("b", ready), depart("a"), depart("b")}, vacated: true},
+		"told again":             {events: []func(*registrar.Registrar){announce("a", ready), depart("a"), announce("b", ready), func(r *registrar.Registrar) { r.ReportCrash("b") }, depart("a")}},
+		"left, before a restart": {events: []func(*registrar.Registrar){announce("a", ready)}, vacated: true, recorded: true},
 		"drains, with its node":  {events: []func(*registrar.Registrar){announce("a", ready), (*registrar.Registrar).DrainAll}},
 	} {
 		t.Run(name, func(t *testing.T) {
