Let nodes go in one order while their zone has enough others

Found by the review: each node whose backend server has left counted all other such nodes as gone, so one departure too many made all of them ready again, seconds before their SIGTERM. They go in the order of their identifiers now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,8 +67,8 @@
 	stop     Stop
 	// leaving is set once the node shuts down.
 	leaving atomic.Bool
-	// retires is set if the VM is removed once its last backend server has left.
-	retires bool
+	// endsWithBackend is set if the VM is removed once its last backend server has left.
+	endsWithBackend bool
 	// aborted is set once a shutdown has aborted callers' requests that only wait, and closing while it
 	// waits for those that go on and closes their connections.
 	aborted, closing atomic.Bool
@@ -221,20 +221,23 @@
 		return "no configuration is known"
 	case !d.prober.Joined():
 		return "the node has not joined the fleet"
-	case d.retires && d.registrar.IsVacated() && d.zone().CanSpare():
+	case d.endsWithBackend && d.registrar.IsVacated() && d.zone().HasEnough():
 		return "the backend server has left"
 	default:
 		return ""
 	}
 }
 
-// zone returns what is known of the other nodes of this node's availability zone.
+// zone returns what is known of the other nodes of this node's availability zone. Of several nodes whose backend servers have
+// left, those with lower identifiers go first: if each counted all others as gone, one departure too many would make all of
+// them ready again.
 func (d *Daemon) zone() (z evacuator.Zone) {
 	for _, m := range d.roster.Members() {
 		if m.ID == d.self.ID || m.Zone != d.self.Zone || !m.IsLive() {
 			continue
 		}
-		z = z.WithNode(!d.forwarder.IsStopping(m.ID) && !(d.retires && d.roster.IsVacated(m.ID)))
+		goes := d.endsWithBackend && m.ID < d.self.ID && d.roster.IsVacated(m.ID)
+		z = z.WithNode(!goes && !d.forwarder.IsStopping(m.ID))
 	}
 	return z
 }
--- a/daemon/option.go
+++ b/daemon/option.go
@@ -93,10 +93,10 @@
 	return func(d *Daemon) { d.readers = readers }
 }
 
-// WithRetirement tells that the VM is removed once its last backend server has left. The node is not ready from then on,
-// so that callers move before it is told to stop.
-func WithRetirement() Option {
-	return func(d *Daemon) { d.retires = true }
+// WithBackendLifetime tells that the VM is removed once its last backend server has left. The node is not ready from then
+// on, so that callers move before it is told to stop.
+func WithBackendLifetime() Option {
+	return func(d *Daemon) { d.endsWithBackend = true }
 }
 
 // WithStop sets what knows when the node was told to stop and records what its shutdown waits
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -5,11 +5,11 @@
 // them to nodes that have stopped taking requests.
 package evacuator
 
-// With fewer than half of a zone's nodes ready, callers are sent to all of them. A zone can spare a node while
-// spareNumerator/spareDenominator are ready without it, which leaves a sixth for stops that begin meanwhile.
+// Callers are sent to all nodes of a zone once fewer than half are ready. enoughNumerator/enoughDenominator of them are to
+// stay ready; the difference, a sixth, is for stops that begin meanwhile.
 const (
-	spareNumerator   = 2
-	spareDenominator = 3
+	enoughNumerator   = 2
+	enoughDenominator = 3
 )
 
 // Zone is what a node knows of the other nodes of its availability zone. The zero value knows of none.
@@ -24,7 +24,7 @@
 	return z
 }
 
-// CanSpare reports whether enough nodes are ready without the one that asks.
-func (z Zone) CanSpare() bool {
-	return z.ready > 0 && z.ready*spareDenominator >= (z.nodes+1)*spareNumerator
+// HasEnough reports whether enough nodes are ready without the one that asks.
+func (z Zone) HasEnough() bool {
+	return z.ready > 0 && z.ready*enoughDenominator >= (z.nodes+1)*enoughNumerator
 }
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -8,18 +8,18 @@
 	"cowsliptally.example/cowsliptally/evacuator"
 )
 
-// TestZoneThatIsShortOfNodesSparesNone guards against callers that are sent to nodes that refuse them, as too few of their
+// TestZoneThatIsShortOfNodesLetsNoneGo guards against callers that are sent to nodes that refuse them, as too few of their
 // zone are ready.
-func TestZoneThatIsShortOfNodesSparesNone(t *testing.T) {
+func TestZoneThatIsShortOfNodesLetsNoneGo(t *testing.T) {
 	for name, tc := range map[string]struct {
 		ready, others int
-		spares        bool
+		enough        bool
 	}{
 		"alone":            {},
 		"one other":        {ready: 1},
-		"two others":       {ready: 2, spares: true},
-		"all ready":        {ready: 18, spares: true},
-		"two thirds":       {ready: 12, others: 5, spares: true},
+		"two others":       {ready: 2, enough: true},
+		"all ready":        {ready: 18, enough: true},
+		"two thirds":       {ready: 12, others: 5, enough: true},
 		"fewer":            {ready: 11, others: 6},
 		"half":             {ready: 9, others: 8},
 		"no other is here": {others: 8},
@@ -32,7 +32,7 @@
 			for range tc.others {
 				z = z.WithNode(false)
 			}
-			is.New(t).Equal(z.CanSpare(), tc.spares)
+			is.New(t).Equal(z.HasEnough(), tc.enough)
 		})
 	}
 }
