Send a request behind two lost owners to no third one

Callers saw nothing yet: found by reading. A request that kills VMs could have reached a third one.

Cause: forwarder.mayGoOn followed a reserved slot before it asked whether two owners are lost, and the search for a slot behind a planned stop asked once only. A silent owner may be declared dead long after the request has left it: between its reservation and its move, or during the search. An owner without a slot or with a failing backend server was a way round the rule as well, as no retry follows such an attempt.

Change: hasLostOwners is asked first in mayGoOn, and in each round of a search, before and behind its offers. An attempt at work behind two lost owners is not given up for another one (arbiter.Attempt.WithoutNext): its owner may still answer it.

Evidence: TestRequestThatLostTwoOwnersGoesToNoThird, ran at the fourth owner where it may not, before, in 12 of 14 orders; the two others, with one owner lost, are to go on and did:

lost_order_test.go:183: 1 != 0 --- FAIL: .../silent,_hedge,_stop (2.56s) --- FAIL: .../silent,_stop,_hedge (2.56s) --- FAIL: .../hedge,_silent,_stop (2.23s) --- FAIL: .../hedge,_stop,_silent:_as_it_reserves (2.62s) --- FAIL: .../hedge,_stop,_silent:_as_it_moves (2.27s) --- FAIL: .../hedge,_stop,_silent:_as_it_searches (3.37s) --- FAIL: .../hedge,_stop,_silent:_at_an_offer_of_its_search (3.42s) --- FAIL: .../stop,_silent,_hedge (2.23s) --- FAIL: .../stop,_hedge,_silent:_as_it_reserves (2.60s) --- FAIL: .../stop,_hedge,_silent:_as_it_moves (2.27s) --- FAIL: .../stop,_hedge,_silent:_as_it_searches (3.33s) --- FAIL: .../its_owner_answers_before_it_ends (2.23s)

TestNoAttemptFollowsTwoLostOwners without the first case of mayGoOn:

an attempt follows one that ended as "silent", with 2 owners lost

Now all pass, with -race -count=2 as well. go test ./arbiter ./forwarder: only the listed TestHealthyBackendServersOfSmallServicesGetRequests fails.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -81,6 +81,12 @@
 	return a
 }
 
+// WithoutNext returns a copy that no other attempt may follow any more, also if a slot is reserved for one.
+func (a Attempt) WithoutNext() Attempt {
+	a.repeatable, a.search = false, NotSearched
+	return a
+}
+
 // WithProgress returns a copy whose owner gave a sign of life at a time.
 func (a Attempt) WithProgress(at time.Time) Attempt {
 	a.progressAt, a.timeouts = at, 0
--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -34,7 +34,11 @@
 		if follow == nil {
 			return a
 		}
-		return a.WithRepeatable(follow.submission.lostCount(f.directory)+1 >= maxLostOwners)
+		lost := follow.submission.lostCount(f.directory)
+		if lost >= maxLostOwners {
+			return a.WithoutNext()
+		}
+		return a.WithRepeatable(lost+1 >= maxLostOwners)
 	})
 	for ctx.Err() == nil {
 		switch d.next(f.clock.Now()) {
--- a/forwarder/search.go
+++ b/forwarder/search.go
@@ -34,7 +34,7 @@
 	}
 	known := arbiter.New(s.started, s.deadline).WithRepeatable(false).WithEnding(arbiter.NodeEnded)
 	for round := 1; known.WithDeadline(f.latestAnswer(s)).Next(f.clock.Now()) == arbiter.Search; round++ {
-		if !f.wait(ctx, searchInterval) {
+		if !f.wait(ctx, searchInterval) || s.hasLostOwners(f.directory, last) {
 			return false
 		}
 		state.searchAgain(number)
@@ -43,7 +43,7 @@
 		}
 		offered := *s
 		if state.successor = f.offerOthers(ctx, &offered, state, number+1); state.successor != nil {
-			return true
+			return !s.hasLostOwners(f.directory, last)
 		}
 	}
 	return false
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// maxLostOwners is the number of owners lost during its attempts after which a
-	// submission fails.
-	maxLostOwners = 2
 	// maxDeadlineRefusals bounds the refusals because the time left is too short: one slow
 	// backend server may need more time than the others, two are unlikely to.
 	maxDeadlineRefusals = 2
@@ -74,6 +71,8 @@
 		counted = state.ran // no refusal before uses up an attempt that a planned stop has ended
 	}
 	switch {
+	case s.hasLostOwners(f.directory, last):
+		return false
 	case last.successor != nil:
 		return f.follow(ctx, s, counted, last)
 	case state.deadlineRefusals >= maxDeadlineRefusals || state.budgetRefusals >= maxBudgetRefusals:
@@ -178,8 +177,7 @@
 	return f.repeatErrors && s.idempotent && r.failed()
 }
 
-// recordAttempt updates the submission after a failed attempt. A request that lost two
-// owners may have killed their VMs, which cannot report it, and is not sent to a third.
+// recordAttempt updates the submission after a failed attempt.
 func (s *submission) recordAttempt(directory Directory, last *result) {
 	s.stage.finish(last.outcome.Executed)
 	s.uncounted = s.uncounted && last.declined()
@@ -189,9 +187,7 @@
 	if last.lost != nil {
 		s.lost = append(s.lost, *last.lost)
 	}
-	if s.lostCount(directory) >= maxLostOwners {
-		last.outcome.Reason = fleet.ReasonOwnersLost
-	}
+	s.hasLostOwners(directory, last)
 }
 
 // noBackendResult returns the result when no backend server is left to try.
