Charge one retry for a hedge that did not run and the attempt behind it

Callers saw nothing but fewer retries; with the last of a retry budget spent on a hedge, a request whose owner fell silent or whose connection broke was lost though another owner had a slot.

Cause: succession.charged, which tells that a refused hedge is paid for, was read only where an attempt at a reserved slot or another hedge follows. The retry behind a planned stop without a reserved slot, a move away from a silent owner and a retry after a broken connection were charged again.

Change: the submission keeps the charge until a retry takes its place, and retrier.Attempt tells that it is charged: Decide charges nothing for it, and neither it nor Quote asks for what is left of the budget.

TestAllowsAgreesWithDecide draws retries that are charged already, too. go test ./retrier ./forwarder -run 'Hedge|Budget|Retry|Retries|Silent|Slot|Stop|Charge' passes.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -148,8 +148,8 @@
 	next := *n
 	next.number++
 	next.state.tried = append(slices.Clone(n.state.tried), backend.ID)
-	next.charged = r.outcome.Executed == fleet.ExecutedNo
-	if next.charged {
+	next.submission.charged = r.outcome.Executed == fleet.ExecutedNo
+	if next.submission.charged {
 		return &next
 	}
 	next.counted++
@@ -176,6 +176,7 @@
 			continue
 		}
 		<-h.done
+		s.charged = h.result.outcome.Executed == fleet.ExecutedNo
 		s.trace = append(s.trace, "beside it "+h.result.describe(h.backend, queued))
 		if f.countsFirst(s, counts, h.result) {
 			f.recordEarlier(s, state, h.backend, h.result)
--- a/forwarder/submission.go
+++ b/forwarder/submission.go
@@ -53,6 +53,8 @@
 	// retryCost is the cost of the current retry that the owner has to charge to its retry
 	// budget; 0 when it is charged.
 	retryCost float64
+	// charged is set if a hedge was charged that did not run: the next retry takes its place.
+	charged bool
 	// lastAttempt is set while no further attempt would be allowed if the present one ran.
 	lastAttempt bool
 	// succession is what may follow the present attempt; nil if nothing may.
--- a/forwarder/succession.go
+++ b/forwarder/succession.go
@@ -25,8 +25,6 @@
 	// number is that of the next attempt, and counted how many so far count as attempts.
 	number, counted int
 	started         time.Time
-	// charged is set if a hedge was charged that did not run: the next attempt takes its place.
-	charged bool
 }
 
 // successor is the backend server of the next attempt, at which a slot is reserved for it.
@@ -64,6 +62,7 @@
 		Reached:    true,
 		Took:       now.Sub(n.started),
 		Outcome:    fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: reason},
+		Charged:    s.charged,
 		Idempotent: s.idempotent,
 		Remaining:  s.deadline.Sub(now),
 	}
@@ -85,7 +84,6 @@
 	next := f.offerOthers(ctx, &s, &state, n.number)
 	switch {
 	case next == nil || cost > 0:
-	case reason == fleet.ReasonStopped && n.charged:
 	case reason == fleet.ReasonStopped:
 		next.uncharged = &failed
 	case !f.chargeNext(failed):
@@ -186,6 +184,7 @@
 	if failed := last.successor.uncharged; failed != nil && isRetry {
 		f.retrier.Decide(*failed)
 	}
+	s.charged = s.charged && !isRetry
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "owed", Value: s.retryCost},
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -216,6 +216,7 @@
 		Failed:     last.answered(),
 		Took:       last.took,
 		Outcome:    last.outcome,
+		Charged:    s.charged,
 		Idempotent: s.idempotent,
 		Remaining:  s.deadline.Sub(f.clock.Now()),
 	})
@@ -228,7 +229,7 @@
 		}
 		return false
 	}
-	s.retryCost = max(s.retryCost, decision.RetryCost)
+	s.charged, s.retryCost = false, max(s.retryCost, decision.RetryCost)
 	f.recorder.Record(fleet.NewEvent(fleet.EventRetry, string(s.id), string(last.outcome.Reason),
 		fleet.Figure{Name: "attempt", Value: float64(number)},
 		fleet.Figure{Name: "owed", Value: s.retryCost},
--- a/retrier/allows_test.go
+++ b/retrier/allows_test.go
@@ -30,6 +30,7 @@
 				Runs:       rapid.IntRange(0, 3).Draw(t, "runs"),
 				MaxRuns:    rapid.IntRange(0, 3).Draw(t, "maxRuns"),
 				Outcome:    fleet.Outcome{Executed: fleet.ExecutedUnknown, Reason: fleet.ReasonStalled},
+				Charged:    rapid.Bool().Draw(t, "charged"),
 				Idempotent: rapid.Bool().Draw(t, "idempotent"),
 				Remaining:  time.Duration(rapid.IntRange(-1, 1).Draw(t, "remaining")) * time.Second,
 			}
@@ -40,6 +41,9 @@
 				t.Fatal("the question charged the budget")
 			}
 			decision := r.Decide(a)
+			if a.Charged && (r.Remaining("ledger") != before || decision.RetryCost > 0) {
+				t.Fatalf("%+v: charged again", a)
+			}
 			if decision.Retry != allowed || quoted != allowed {
 				t.Fatalf("%+v: allowed %t, quoted %t, decided %t", a, allowed, quoted, decision.Retry)
 			}
--- a/retrier/attempt.go
+++ b/retrier/attempt.go
@@ -24,6 +24,8 @@
 	// Outcome is the reason of the failure and whether the attempt was executed.
 	Outcome    fleet.Outcome
 	Idempotent bool
+	// Charged is set if the retry is charged already, for an attempt that did not run.
+	Charged bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -107,6 +107,8 @@
 	}
 	cost := r.retryCost(a)
 	switch {
+	case a.Charged:
+		return Decision{Retry: true, Delay: delay, Reason: a.Outcome.Reason}
 	case a.Outcome.Reason == fleet.ReasonStopped:
 		// Each node that stops hands back a few requests at most, whose callers would lose them
 		// to planned work. Later retries make up for it.
@@ -129,14 +131,14 @@
 }
 
 // Quote is Allows, with the cost to charge to the retry budget of the next backend server's owner; 0
-// while this node's budget covers the retry, and for a request that a planned stop ends, which Decide
-// charges to this node's budget in any case.
+// while this node's budget covers the retry, for one that is charged already, and for a request that a planned
+// stop ends, which Decide charges to this node's budget in any case.
 func (r *Retrier) Quote(a Attempt) (ownerCost float64, allowed bool) {
 	if a.Number >= r.attempts || a.Remaining <= 0 || !a.repeatable() {
 		return 0, false
 	}
 	cost := r.retryCost(a)
-	if a.Outcome.Reason == fleet.ReasonStopped || r.Remaining(a.Service) >= cost {
+	if a.Charged || a.Outcome.Reason == fleet.ReasonStopped || r.Remaining(a.Service) >= cost {
 		return 0, true
 	}
 	return cost, r.ownerCharge
