Check a hedged request again once the slot of its hedge is reserved

Callers saw nothing yet: found by reading. A request that crashes backend servers could crash one more, one that kills VMs could lose three.

Cause: startHedge asked whether the request is suspect before it had a slot reserved, which takes up to 250 ms for each owner that is asked. A crash report that came meanwhile was missed, if the owner of the hedge had not heard of it. A silent owner that was declared dead meanwhile was missed as well: that was asked once, when the step was decided.

Change: both are asked before and behind the reservation (mayHedge). A report that comes while the hedge's connection is dialled is still missed.

Evidence: TestRequestThatIsSuspectOnceItsHedgeHasASlotIsNotHedged and TestRequestThatLostAnOwnerOnceItsHedgeHasASlotIsNotHedged, attempts at the owner of the hedge, failed before:

hedge_check_test.go:43: 1 != 0 hedge_check_test.go:61: 1 != 0

and pass now, as go test ./forwarder -run Hedge does.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -57,12 +57,13 @@
 func (f *Forwarder) startHedge(ctx context.Context, d *delivery) {
 	n := d.follow()
 	s := n.submission
-	if f.quarantiner.Check(s.identity).Verdict != quarantiner.Unneeded {
-		d.recordSearch(nil) // no suspect is sent again, and the next owner may not have heard of the crash
+	if !f.mayHedge(&s) {
+		d.recordSearch(nil)
 		return
 	}
 	next := f.reserveNext(ctx, n, fleet.ReasonStopped)
-	if next == nil {
+	// Reserving takes a while, in which a crash may be reported or an owner be declared dead.
+	if next == nil || !f.mayHedge(&s) {
 		d.recordSearch(nil)
 		return
 	}
@@ -91,6 +92,12 @@
 	}()
 }
 
+// mayHedge reports whether a submission is neither suspect, which the next owner may not have heard of, nor has lost an owner: it
+// may kill two more VMs at once.
+func (f *Forwarder) mayHedge(s *submission) bool {
+	return f.quarantiner.Check(s.identity).Verdict == quarantiner.Unneeded && s.lostCount(f.directory) == 0
+}
+
 // recordHedge records a hedge with this number, and where it runs.
 func (f *Forwarder) recordHedge(s *submission, backend fleet.Backend, reason string, number int) {
 	f.recorder.Record(fleet.NewEvent(fleet.EventHedge, string(s.id), reason,
