Repeat refusals after a stall in the extension of a shutdown

Callers saw nothing yet: found by reading. Requests that arrive while a stopping node is stalled in the last half second before its end could get no answer, as their connections were closed before they were read.

Cause: refuseAfterStall waited with the context of the shutdown's limit, which is done in the extension behind it, so the wait ended at once. The monitor of stalls ended with that context as well: the next question then takes the time since the limit for a stall.

Change: behind the limit the wait is bounded by the end of the node, and stalls are looked for until the shutdown has ended.

Evidence: TestStallInTheExtensionHasRefusalsRepeated failed before:

late_stall_test.go:63: err: Get "http://127.0.0.1:32913": dial tcp 127.0.0.1:32913: connect: connection refused // new requests are still refused

TestExtensionWithoutAStallEndsWithItsRequest failed with the first half of the change alone, and passes with both:

late_stall_test.go:82: the shutdown waits on

go test -race ./daemon -count=3 passes. Of processes, at load 30 to 48, go test ./platform/starter -run 'TestOnlyRequestsAtWorkExtendTheEnd| TestRequestAtWorkMayUseTheGracePeriodOf|TestRequestsMayUseFiveSixths' failed in one case, own_caller's,_other_node's: the log told of 2 unfinished attempts and not 1, as the abort of the caller's own request came 70 ms late (504 after 5.87 s, the end after 5.91 s). That case alone passed 3 of 3 at load 60.

--- a/daemon/limit.go
+++ b/daemon/limit.go
@@ -74,17 +74,22 @@
 	return context.WithTimeout(parent, max(l.left(), closeTime))
 }
 
-// context returns a context that is done at the limit.
+// context returns a context that is done at the limit. Stalls are looked for until it is cancelled, also behind the limit: a
+// time without checks would count as one.
 func (l *limit) context() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	go l.monitor.Run(ctx)
+	watched, stop := context.WithCancel(context.Background())
+	go l.monitor.Run(watched)
 	go func() {
 		for left := l.left(); left > 0 && ctx.Err() == nil; left = l.left() {
 			wait(ctx, l.clock, left)
 		}
 		cancel(context.DeadlineExceeded)
 	}()
-	return ctx, func() { cancel(context.Canceled) }
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
 }
 
 // refuse refuses new requests until callers have gone elsewhere. It returns the time since which stalls are to be
@@ -96,8 +101,8 @@
 }
 
 // refuseAfterStall waits while requests are refused that arrived in a stall of the process since a time: those that
-// are not read before their connections close would have an unknown outcome. It returns the time since which the next
-// call is to look for stalls, so that none between two calls is passed over.
+// are not read before their connections close would have an unknown outcome. Behind the limit, ctx is that of the end of
+// the node. It returns the time since which the next call is to look for stalls, so that none between two calls is passed over.
 func (d *Daemon) refuseAfterStall(ctx context.Context, l *limit, since time.Time) time.Time {
 	for l.stalledSince(since) {
 		since = d.clock.Now()
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -136,7 +136,7 @@
 // were told that this node leaves. Stalls were looked for up to the time checked; a later one has new requests refused
 // for longer.
 func (d *Daemon) closeServers(ctx, extended context.Context, s *servers, limit *limit, checked, told time.Time) error {
-	checked = d.refuseAfterStall(ctx, limit, checked)
+	checked = d.refuseAfterStall(extended, limit, checked)
 	callers, cancelCallers := limit.closing(extended)
 	defer cancelCallers()
 	err := s.closeCallers(callers)
@@ -148,7 +148,7 @@
 	// would have an unknown outcome.
 	d.wait(ctx, min(departureTime-d.clock.Since(told), limit.left()-closeTime))
 	if limit.stalledSince(checked) {
-		d.refuseAfterStall(ctx, limit, checked)
+		d.refuseAfterStall(extended, limit, checked)
 		callers, cancelCallers = limit.closing(extended)
 		defer cancelCallers()
 	}
