Have a node that joins compare tables with two others that have joined

Callers saw nothing yet: found by reading. A node could count as joined without a crash report that the fleet held, and could miss it until the next regular comparison, 15 s later.

Cause: compareUntilEqual took two comparisons with one node for two nodes, and both it and catchUp took equal tables of a node that had just started itself for proof.

Change: compareUntilEqual passes over nodes to which its table was equal, and ends where there is no other one. Responses to Compare tell whether their node joins itself (peer.proto, joining). Such a node proves nothing: in catchUp it takes no round in the first 2 s, of 20 tries at most, and is not asked again. Nodes of the build before tell nothing, and count as before.

--- a/prober/compare.go
+++ b/prober/compare.go
@@ -40,7 +40,7 @@
 			len(theirs), parent, roster.BucketCount, roster.BucketCount)
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	response := &cowsliptallyv1.CompareResponse{Gossip: &cowsliptallyv1.Gossip{}}
+	response := &cowsliptallyv1.CompareResponse{Gossip: &cowsliptallyv1.Gossip{}, Joining: !p.joined.Load()}
 	for i, hash := range p.hashes(parent) {
 		if hash != theirs[i] {
 			response.Differing = append(response.Differing, uint32(i))
@@ -100,26 +100,26 @@
 }
 
 // catchUp compares tables when the node joins, until they are equal to those of two nodes or after joinRounds. One
-// node may have missed a crash, or have just started itself. Nodes that do not answer take no round for a while, as
-// many may have ended at once.
+// node may have missed a crash. Nodes that do not answer take no round for a while, as many may have ended at once, and
+// nor do those that join themselves, as many may have started.
 func (p *Prober) catchUp(ctx context.Context) {
 	started := p.clock.Now()
-	equal := make(map[string]bool)
+	equal, joining := make(map[string]bool), make(map[string]bool)
 	for rounds, tries := 0, 0; rounds < joinRounds && tries < maxJoinTries; tries++ {
-		chosen := p.choosePeers(1, func(m fleet.Member) bool { return !equal[m.PeerAddress] })
+		chosen := p.choosePeers(1, func(m fleet.Member) bool { return !equal[m.PeerAddress] && !joining[m.PeerAddress] })
 		if len(chosen) == 0 {
 			return
 		}
-		switch p.compare(ctx, chosen[0], joinCalls) {
-		case tablesEqual:
-			equal[chosen[0].PeerAddress] = true
+		result := p.compare(ctx, chosen[0], joinCalls)
+		proves := result.answered && !result.joining
+		if proves || p.clock.Since(started) > joinTime {
 			rounds++
-		case tablesDiffered:
-			rounds++
-		case noAnswer:
-			if p.clock.Since(started) > joinTime {
-				rounds++
-			}
+		}
+		switch address := chosen[0].PeerAddress; {
+		case result.joining:
+			joining[address] = true
+		case result.equal:
+			equal[address] = true
 		}
 		if len(equal) == 2 {
 			return
@@ -128,19 +128,18 @@
 }
 
 // comparison is the result of a comparison with another node.
-type comparison int
-
-const (
-	noAnswer comparison = iota
-	tablesDiffered
-	tablesEqual
-)
+type comparison struct {
+	// answered is set if the node answered each call, and equal if the tables were equal already.
+	answered, equal bool
+	// joining is set if the node has not joined itself: it may lack what the others hold.
+	joining bool
+}
 
 // compare reconciles the tables of this node and another in at most the given number of
-// calls. It returns whether they were already equal.
+// calls.
 func (p *Prober) compare(ctx context.Context, target fleet.Member, calls int) comparison {
 	p.counters.comparisons.Inc(1)
-	result := tablesEqual
+	result := comparison{answered: true, equal: true}
 	missing := &cowsliptallyv1.Gossip{}
 	parents := []int{0}
 	for len(parents) > 0 && calls > 0 {
@@ -149,10 +148,11 @@
 		calls--
 		response := p.compareOnce(ctx, target, parent, missing)
 		if response == nil {
-			return noAnswer
+			return comparison{}
 		}
+		result.joining = result.joining || response.GetJoining()
 		if len(response.GetDiffering())+len(response.GetDifferingRecords()) > 0 {
-			result = tablesDiffered
+			result.equal = false
 		}
 		included := min(int(response.GetIncluded()), len(response.GetDiffering()))
 		if rest := response.GetDiffering()[included:]; parent == 0 {
--- a/prober/network_test.go
+++ b/prober/network_test.go
@@ -32,6 +32,10 @@
 	calls int
 	// looped counts the comparisons that a node sent to its own address.
 	looped int
+	// compared is called for each comparison that a node sends, with both addresses; nil for none.
+	compared func(from, to string)
+	// joining holds the addresses of nodes that answer comparisons as if they had not joined.
+	joining map[string]bool
 	// latency is the one-way delay.
 	latency time.Duration
 	// watch is called for each event that a node's journal records.
@@ -213,68 +217,6 @@
 	return fired
 }
 
-// link implements prober.Transport for one node.
-type link struct{ from *node }
-
-func send[Q, A any](ctx context.Context, l link, address string, request *Q,
-	handle func(*node) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
-) (*A, error) {
-	defer l.from.waitUntilThawed()
-	w, from := l.from.network, l.from.self.PeerAddress
-	time.Sleep(w.latency)
-	to := w.at(address)
-	if to == nil {
-		return nil, errLost
-	}
-	responses := make(chan *A, 1)
-	if w.open(from, address) {
-		go func() {
-			to.waitUntilThawed()
-			response, err := handle(to)(ctx, connect.NewRequest(request))
-			time.Sleep(w.latency)
-			if err == nil && w.open(address, from) {
-				responses <- response.Msg
-			}
-		}()
-	}
-	select {
-	case response := <-responses:
-		return response, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l link) Probe(ctx context.Context, address string, request *cowsliptallyv1.ProbeRequest) (
-	*cowsliptallyv1.ProbeResponse, error,
-) {
-	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.ProbeRequest]) (
-		*connect.Response[cowsliptallyv1.ProbeResponse], error) {
-		return n.prober.Probe
-	})
-}
-
-func (l link) ProbeIndirect(ctx context.Context, address string, request *cowsliptallyv1.ProbeIndirectRequest) (
-	*cowsliptallyv1.ProbeIndirectResponse, error,
-) {
-	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.ProbeIndirectRequest]) (
-		*connect.Response[cowsliptallyv1.ProbeIndirectResponse], error) {
-		return n.prober.ProbeIndirect
-	})
-}
-
-func (l link) Compare(ctx context.Context, address string, request *cowsliptallyv1.CompareRequest) (
-	*cowsliptallyv1.CompareResponse, error,
-) {
-	if address == l.from.self.PeerAddress {
-		l.from.network.countLoop()
-	}
-	return send(ctx, l, address, request, func(n *node) func(context.Context, *connect.Request[cowsliptallyv1.CompareRequest]) (
-		*connect.Response[cowsliptallyv1.CompareResponse], error) {
-		return n.prober.Compare
-	})
-}
-
 // sees reports whether a node records another one in the given state.
 func (n *node) sees(other *node, state fleet.MemberState) bool {
 	m, found := n.roster.Member(other.self.ID)
--- a/prober/seeds.go
+++ b/prober/seeds.go
@@ -59,7 +59,7 @@
 	reached, _ := p.probeSeeds(ctx)
 	for _, address := range reached {
 		for range joinRounds {
-			if p.compare(ctx, fleet.Member{PeerAddress: address}, joinCalls) == tablesEqual {
+			if p.compare(ctx, fleet.Member{PeerAddress: address}, joinCalls).equal {
 				break
 			}
 		}
@@ -78,22 +78,28 @@
 // Joined reports whether the node has joined the fleet, or is its first node.
 func (p *Prober) Joined() bool { return p.joined.Load() }
 
-// compareUntilEqual compares tables with random nodes until they are equal twice in a row.
+// compareUntilEqual compares tables with random nodes until they are equal to those of two nodes in a row, or of all.
 func (p *Prober) compareUntilEqual(ctx context.Context) {
-	equal := 0
+	equal := make(map[string]bool)
 	for range maxJoinComparisons {
 		if !p.sleep(ctx, joinCompareInterval) {
 			return
 		}
-		chosen := p.choosePeers(1, anyPeer)
-		switch {
-		case len(chosen) == 0:
-		case p.compare(ctx, chosen[0], steadyCalls) == tablesEqual:
-			equal++
+		chosen := p.choosePeers(1, func(m fleet.Member) bool { return !equal[m.PeerAddress] })
+		if len(chosen) == 0 && len(equal) > 0 {
+			return
+		}
+		if len(chosen) == 0 {
+			continue
+		}
+		switch result := p.compare(ctx, chosen[0], steadyCalls); {
+		case result.joining: // it proves nothing
+		case result.equal:
+			equal[chosen[0].PeerAddress] = true
 		default:
-			equal = 0
+			clear(equal)
 		}
-		if equal == 2 {
+		if len(equal) == 2 {
 			return
 		}
 	}
