Take the machine's time out of the test of cut answers, and require that one was cut

Cause: the dial on loopback missed the 1 s of pooler.DefaultDialTimeout.

Change: the test's pool has no dial timeout, and a clock that stands still. Each case requires that an answer was cut, and a failure prints the answer.

--- a/dispatcher/cut_test.go
+++ b/dispatcher/cut_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"cowsliptally.example/cowsliptally/dispatcher"
 	"cowsliptally.example/cowsliptally/fleet"
+	"cowsliptally.example/cowsliptally/pooler"
 )
 
 // cutBackend answers requests whole, but sends only the first bytes of the answer to the request r.
@@ -20,6 +23,8 @@
 	answer func(id string) string
 	bytes  int
 	reset  bool
+	// cut is set once an answer was cut.
+	cut *atomic.Bool
 }
 
 func (b cutBackend) serve(c net.Conn) {
@@ -36,6 +41,7 @@
 			_, _ = io.WriteString(c, answer)
 			continue
 		}
+		b.cut.Store(true)
 		_, _ = io.WriteString(c, answer[:b.bytes])
 		if b.reset {
 			_ = c.(*net.TCPConn).SetLinger(0)
@@ -90,7 +96,7 @@
 							break // it ends with its connection
 						}
 						sends.Go(func() error {
-							cut := cutBackend{answer: answer, bytes: bytes, reset: reset}
+							cut := cutBackend{answer: answer, bytes: bytes, reset: reset, cut: &atomic.Bool{}}
 							return cut.check(t, first)
 						})
 					}
@@ -108,14 +114,20 @@
 func (b cutBackend) check(t *testing.T, first bool) error {
 	l := newLocal(t)
 	l.backend.Address = listen(t, b.serve)
-	d := dispatcher.New("node", l, dispatcher.WithRequiredEcho(), dispatcher.WithUndelimitedAnswers())
+	// No timeout of a connection passes: hundreds of servers share this process, and the machine's delays are no subject.
+	untimed := pooler.New(pooler.WithDialTimeout(0), pooler.WithClock(clockwork.NewFakeClock()), pooler.WithProgress(dispatcher.DefaultProgressTimeout))
+	d := dispatcher.New("node", l, dispatcher.WithRequiredEcho(), dispatcher.WithUndelimitedAnswers(), dispatcher.WithPooler(untimed))
 	ticket := send(d, "t", "1", "", "false").Header().Get(fleet.HeaderTicket)
 	if !first {
-		if got := outcome(send(d, "whole", "1", ticket, "false")); got != "yes " {
-			return fmt.Errorf("a whole answer was taken for %q", got)
+		whole := send(d, "whole", "1", ticket, "false")
+		if got := outcome(whole); got != "yes " {
+			return fmt.Errorf("a whole answer was taken for %q: %s", got, whole.Body.String())
 		}
 	}
 	answer := send(d, "r", "1", ticket, "false")
+	if !b.cut.Load() {
+		return fmt.Errorf("no answer was cut: %q: %s", outcome(answer), answer.Body.String())
+	}
 	if outcome(answer) == "yes " {
 		return fmt.Errorf("%d bytes of %q were taken for an answer with the body %q", b.bytes, b.answer("r"), answer.Body.String())
 	}
