Name the node that has not heard of a departure, and when it does

What was seen: TestLeaveIsKnownEverywhereWithinTwoSeconds failed once, as one of 64 nodes had not heard, and the finding did not tell which.

Change: a finding names the node, how many members it knows, whether it knows that the node left, which backend servers it holds, and how much later it has heard. What the test asks for is the same: 2 s of virtual time, for all nodes.

Likely, not shown: others tell nothing to a node that left, which hears by its own probes only.

--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -64,10 +64,19 @@
 		is.NoErr(err)
 		is.True(nodes[3].announce("b1", "ledger", ready) != nil) // a late announcement does not undo it
 		is.NoErr(nodes[4].prober.Leave(context.Background()))
-		time.Sleep(2 * time.Second)
+		const within = 2 * time.Second
+		time.Sleep(within)
 		for _, n := range nodes {
-			is.Equal(len(n.roster.Backends("ledger")), 0)
-			is.True(n.sees(nodes[4], fleet.MemberLeft))
+			backends, left := n.roster.Backends("ledger"), n.sees(nodes[4], fleet.MemberLeft)
+			if len(backends) == 0 && left {
+				continue
+			}
+			t.Errorf("%s after %s: %d members, knows that the node left: %t, backend servers %v", n.self.ID, within, len(n.roster.Members()), left, backends)
+			told := time.Now()
+			for (!n.sees(nodes[4], fleet.MemberLeft) || len(n.roster.Backends("ledger")) > 0) && time.Since(told) < time.Minute {
+				time.Sleep(50 * time.Millisecond)
+			}
+			t.Logf("%s heard of all %s later, if at all", n.self.ID, time.Since(told))
 		}
 	})
 }
