Tell in a finding of proof who was late: the caller, the rig or a node

A finding names the request only. It does not tell whether the caller sent or gave up late, whether the processes got no processor time, or whether a node had its time and did not answer.

Cause of the 2.0 s: each request that the caller sends has its own time limit of 1 s and a slack of 1 s, after which the caller gives up and the checker counts it as lost. All tests of proof with load count such requests. The limit is the guarantee that they check, so it stays, and no test's judgement changes.

Change: a record tells when its request was due, the caller's limit and when bytes of an answer were last read; a finding tells how late the caller was to send and to give up. A failed test logs the figures for its whole time, and a floor that a node reports too low tells when it was asked.

Before the change the new test of the checker does not compile: a record has no due time and no limit. Run with -race, the tests of caller, checker, sampler and proof TestKill pass.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -101,7 +101,7 @@
 			return
 		case <-timer.C:
 		}
-		c.sendAsync()
+		c.sendAsync(next)
 		next = next.Add(c.gap(rate))
 	}
 }
@@ -130,9 +130,14 @@
 
 // Send sends one request of a kind and returns its record, which is kept as well.
 func (c *Caller) Send(kind Kind) Record {
+	return c.sendDue(kind, time.Time{})
+}
+
+// sendDue sends one request that is due at a time.
+func (c *Caller) sendDue(kind Kind, due time.Time) Record {
 	record := Record{
 		Request: fleet.RequestID(uuid.Must(uuid.NewV7()).String()), Kind: kind.Name,
-		Idempotent: kind.Idempotent,
+		Idempotent: kind.Idempotent, Due: due,
 	}
 	if c.keyed && !kind.Idempotent {
 		record.Key = uuid.Must(uuid.NewV7()).String()
@@ -151,13 +156,13 @@
 	return record
 }
 
-// sendAsync sends one request of a random kind in its own goroutine.
-func (c *Caller) sendAsync() {
+// sendAsync sends one request of a random kind, due at a time, in its own goroutine.
+func (c *Caller) sendAsync(due time.Time) {
 	kind := c.drawKind()
 	c.outstanding <- struct{}{}
 	c.pending.Go(func() {
 		defer func() { <-c.outstanding }()
-		c.Send(kind)
+		c.sendDue(kind, due)
 	})
 }
 
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -8,11 +8,22 @@
 	"time"
 )
 
-// conn is a connection that knows when it was opened and when it was last written to.
+// conn is a connection that knows when it was opened and when it was last written to and read from.
 type conn struct {
 	net.Conn
 	opened time.Time
 	wrote  atomic.Pointer[time.Time]
+	read   atomic.Pointer[time.Time]
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		now := time.Now()
+		c.read.Store(&now)
+	}
+	return n, err
 }
 
 // Write writes to the connection.
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -21,12 +21,13 @@
 	if kind.Timeout == 0 {
 		kind.Timeout = defaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), kind.Timeout+c.slack)
+	record.Limit = kind.Timeout + c.slack
+	ctx, cancel := context.WithTimeout(context.Background(), record.Limit)
 	defer cancel()
 	body := bytes.Repeat([]byte("b"), max(kind.Size, 1))
 	record.Result = ResultUnsent
 	var used *conn
-	defer func() { record.noteWritten(used) }()
+	defer func() { record.noteTimes(used) }()
 	for _, node := range c.candidates() {
 		record.Node = node
 		response, err := c.client.Do(c.request(traceConnection(ctx, record, func(c *conn) { used = c }), node, kind, record, body))
--- a/caller/record.go
+++ b/caller/record.go
@@ -37,9 +37,15 @@
 	Connected time.Time `json:"connected,omitzero"`
 	// Written is when a request without an outcome was written to its connection; zero if it was not.
 	Written time.Time `json:"written,omitzero"`
+	// Read is when bytes of an answer that is no outcome were last read from that connection; zero if there were none.
+	Read time.Time `json:"read,omitzero"`
 	// Reused reports whether the connection had carried an earlier request.
-	Reused bool          `json:"reused,omitempty"`
-	Sent   time.Time     `json:"sent"`
+	Reused bool `json:"reused,omitempty"`
+	// Due is when the caller meant to send the request; zero if that was at once.
+	Due  time.Time `json:"due,omitzero"`
+	Sent time.Time `json:"sent"`
+	// Limit is the time after which the caller gives up.
+	Limit  time.Duration `json:"limit,omitempty"`
 	Took   time.Duration `json:"took"`
 	Result Result        `json:"result"`
 	Status int           `json:"status"`
@@ -52,12 +58,16 @@
 	Served time.Duration `json:"served"`
 }
 
-// noteWritten records when a request without an outcome was written. A connection that broke carries no later one.
-func (r *Record) noteWritten(used *conn) {
+// noteTimes records when a request without an outcome was written and its answer read. A connection that broke carries
+// no later request.
+func (r *Record) noteTimes(used *conn) {
 	if used == nil || r.Result != ResultBroken && r.Result != ResultSilent {
 		return
 	}
 	if at := used.wrote.Load(); at != nil && !at.Before(r.Sent) {
 		r.Written = *at
 	}
+	if at := used.read.Load(); at != nil && !at.Before(r.Sent) {
+		r.Read = *at
+	}
 }
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -113,9 +113,22 @@
 		report.Excused++
 		return
 	}
-	report.add(ViolationLost, record, "no outcome from %s after %s: %s, status %d, %q; sent at %s over a connection opened at %s, reused %t, written to it at %s",
+	report.add(ViolationLost, record, "no outcome from %s after %s: %s, status %d, %q; sent at %s over a connection opened at %s, reused %t, written to it at %s, last read from it at %s; %s",
 		record.Node, record.Took.Round(time.Millisecond), record.Result, record.Status, record.Reason,
-		record.Sent.Format(time.StampMicro), record.Connected.Format(time.StampMicro), record.Reused, stamp(record.Written))
+		record.Sent.Format(time.StampMicro), record.Connected.Format(time.StampMicro), record.Reused,
+		stamp(record.Written), stamp(record.Read), lateness(record))
+}
+
+// lateness tells how late the caller itself was, which a machine without processor time for it makes it.
+func lateness(record caller.Record) string {
+	text := "caller sent at once"
+	if !record.Due.IsZero() {
+		text = fmt.Sprintf("caller %s late to send", record.Sent.Sub(record.Due).Round(time.Millisecond))
+	}
+	if over := record.Took - record.Limit; record.Limit > 0 && over >= 0 {
+		text += fmt.Sprintf(" and %s late to give up after %s", over.Round(time.Millisecond), record.Limit)
+	}
+	return text
 }
 
 // stamp formats a time that may not be known.
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,17 @@
 	is.Equal(report.String(), "sent=1 answered=1 refused=0 unknown=0 wrong=0 lost=0 twice=0 "+
 		"added_p50_ms=0.40 added_p99_ms=0.40")
 }
+
+// TestLostFindingTellsHowLateItsCallerWas guards against a finding that does not tell a late node from a late caller.
+func TestLostFindingTellsHowLateItsCallerWas(t *testing.T) {
+	is := is.New(t)
+	silent := answered("b")
+	silent.Result, silent.Limit, silent.Took = caller.ResultSilent, 2*time.Second, 2300*time.Millisecond
+	silent.Due = noon.Add(-400 * time.Millisecond)
+	finding := New().Check([]caller.Record{silent}, nil).Findings[0].String()
+	is.True(strings.HasSuffix(finding, "last read from it at no time; caller 400ms late to send and 300ms late to give up after 2s"))
+	broken := answered("b")
+	broken.Result, broken.Limit = caller.ResultBroken, 2*time.Second
+	finding = New().Check([]caller.Record{broken}, nil).Findings[0].String()
+	is.True(strings.HasSuffix(finding, "; caller sent at once"))
+}
--- a/harness/harness.go
+++ b/harness/harness.go
@@ -86,6 +86,9 @@
 // Running returns the names of the running processes.
 func (h *Harness) Running() []string { return h.launcher.Running() }
 
+// ProcessIDs returns the operating system's identifiers of the running processes, by name.
+func (h *Harness) ProcessIDs() map[string]int { return h.launcher.ProcessIDs() }
+
 // VMs returns all VMs started so far, including ended ones.
 func (h *Harness) VMs() []*VM {
 	h.mu.Lock()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -76,13 +76,30 @@
 
 // Running returns the names of the running processes.
 func (l *Launcher) Running() []string {
+	var names []string
+	for _, process := range l.running() {
+		names = append(names, process.name)
+	}
+	return names
+}
+
+// ProcessIDs returns the operating system's identifiers of the running processes, by name.
+func (l *Launcher) ProcessIDs() map[string]int {
+	found := make(map[string]int)
+	for _, process := range l.running() {
+		found[process.name] = process.ID()
+	}
+	return found
+}
+
+func (l *Launcher) running() []*Process {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var names []string
+	var found []*Process
 	for _, process := range l.processes {
 		if !process.HasEnded() {
-			names = append(names, process.name)
+			found = append(found, process)
 		}
 	}
-	return names
+	return found
 }
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -15,6 +15,7 @@
 	"cowsliptally.example/cowsliptally/fleet"
 	cowsliptallyv1 "cowsliptally.example/cowsliptally/gen/cowsliptally/v1"
 	"cowsliptally.example/cowsliptally/harness"
+	"cowsliptally.example/cowsliptally/sampler"
 	"cowsliptally.example/cowsliptally/standin/backend/server"
 	"cowsliptally.example/cowsliptally/translator"
 )
@@ -44,6 +45,10 @@
 	is      *is.I
 	harness *harness.Harness
 	caller  *caller.Caller
+	// directory has the logs of the processes.
+	directory string
+	began     time.Time
+	sampler   *sampler.Sampler
 
 	mu sync.Mutex
 	// excused are the nodes that were killed or frozen, with the times.
@@ -57,12 +62,15 @@
 	directory := t.TempDir()
 	h, err := harness.New(binaries, directory, options...)
 	is.NoErr(err)
-	f := &fixture{t: t, is: is, harness: h}
+	f := &fixture{t: t, is: is, harness: h, directory: directory, began: time.Now()}
+	stopSampling := f.sample()
 	t.Cleanup(func() {
 		if err := h.Stop(); err != nil {
 			t.Error(err)
 		}
+		stopSampling()
 		if t.Failed() {
+			t.Logf("processor time in the whole test:%s", f.usage(f.began, time.Now()))
 			keepLogs(t, directory)
 		}
 	})
@@ -157,9 +165,7 @@
 	for _, reason := range f.caller.FailureSummary() {
 		f.t.Log(reason)
 	}
-	for _, finding := range report.Findings {
-		f.t.Error(finding)
-	}
+	f.reportFindings(report, f.caller.Records())
 	f.is.True(report.Answered > report.Sent/2) // most requests are answered in spite of the faults
 	return report
 }
--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -53,6 +53,7 @@
 func (f *fixture) checkFloor() int {
 	most := 0
 	for _, vm := range f.harness.VMs() {
+		asked := time.Now()
 		status, err := f.harness.Status(vm)
 		if err != nil {
 			continue
@@ -66,8 +67,9 @@
 			}
 			most = max(most, ejected)
 			if view.GetHealthySlots() < view.GetMinHealthySlots() {
-				f.t.Errorf("%s reports %d healthy slots below the floor of %d, %d ejected",
-					vm.NodeName(), view.GetHealthySlots(), view.GetMinHealthySlots(), ejected)
+				f.t.Errorf("%s reports %d healthy slots below the floor of %d, %d ejected, in an answer between %s and %s",
+					vm.NodeName(), view.GetHealthySlots(), view.GetMinHealthySlots(), ejected,
+					asked.Format(time.StampMicro), time.Now().Format(time.StampMicro))
 			}
 		}
 	}
--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -75,9 +75,7 @@
 	f.is.NoErr(err)
 	report := checker.New(f.excused...).Check(resender.Records(), entries)
 	t.Log(report)
-	for _, finding := range report.Findings {
-		t.Error(finding)
-	}
+	f.reportFindings(report, resender.Records())
 	f.is.True(report.Answered > 0)
 	f.is.True(report.Answered < report.Sent) // the repetitions were not run
 }
