End an attempt whose upload is silent at its deadline

What was seen: beside load, the node ledger-3 of proof TestSilentConnections ended with status 1, 30 s after SIGTERM: "1 are still in flight (requests=0 pipelined=0 late-requests=0 attempts=1 ...)". The attempt was at work when the node was stopped, and 26 s later still.

Cause: an owner reads the body of an attempt without a time limit. A connection between two nodes that falls silent behind the head of an attempt keeps that attempt in flight for ever; its memory stays reserved, and the owner does not end before its grace period does. An attempt that is refused before its body is read has the same effect in its connection, as net/http reads what is left of the body first. The limit of reading that an ingress has for its callers was missing at the owner.

Evidence: the node did not log the attempt as unfinished, as it does for those that were sent to their backend servers, and writing an answer is limited to 15 s. What is left is the body.

Change: reading is limited by the deadline of the attempt from its head on, and not any more once the body is whole. An upload that ends at the deadline is refused as not run, with the reason deadline.

The tests of dispatcher and daemon pass with -race.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -170,6 +170,8 @@
 		d.refuse(w, c, refused(fleet.ReasonBadRequest), err.Error())
 		return
 	}
+	// A refusal before the end of the body has the server read what is left of it.
+	limitReading(w, c.deadline)
 	kind, entered := d.enter()
 	if !entered {
 		d.refuse(w, c, refused(fleet.ReasonDraining), "the node shuts down")
@@ -193,6 +195,7 @@
 		return
 	}
 	defer content.Release()
+	limitReading(w, time.Time{})
 	a := &attempt{dispatcher: d, call: c, backend: backend, gate: g, request: r, content: content.Bytes()}
 	ctx, release := a.withHandBack(ctx)
 	defer release()
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"errors"
+	"os"
+
 	"cowsliptally.example/cowsliptally/admitter"
 	"cowsliptally.example/cowsliptally/collector"
 	"cowsliptally.example/cowsliptally/fault"
@@ -26,6 +29,9 @@
 
 // bodyReason returns the reason why a request body could not be buffered.
 func bodyReason(err error) fleet.Reason {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fleet.ReasonDeadline
+	}
 	switch fault.KindOf[collector.Kind](err) {
 	case collector.KindTooLarge:
 		return fleet.ReasonTooLarge
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// limitReading ends an upload whose connection is silent at a deadline; there is none if that is zero. The error of
+// response writers without deadlines, such as those in tests, is ignored, as they are never slow.
+func limitReading(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 // limitWriting sets the write deadline of the next part of an answer. The error of response
 // writers without deadlines, such as those in tests, is ignored, as they are never slow.
 func (d *Dispatcher) limitWriting(w http.ResponseWriter) {
