Judge an answer by when it arrives at the caller's socket

What was seen: TestFlapping lost 31 requests "after 2.0 s" to 3.4 s beside 8 busy processes at load 35, the test's own load generator included. The nodes had logged an outcome for 29 of the 31 in time, the slowest 1.0 s after it began. The caller was 1.4 s late to give up some of them: the test process did not get to read for two seconds, and the nodes were idle meanwhile.

Cause: the caller counts its time limit by its own timers and reads. A test process without processor time has its timers fire before it reads what has arrived, so the checker blames a node that answered. Ruled out for these: a late node, by its log and by its time for the next requests.

Change: the limit stays 2 s from when the request is sent, but it is one of the arrival. When it has passed and nothing of the answer has arrived at the socket, the caller gives up as before. An outcome that it reads after the limit counts only if the kernel tells that its last bytes had arrived by then (TCP_INFO); otherwise the request is silent, as before. What is read is checked as any other answer. This is as strict for the node: an answer that arrives late is lost, also if the caller is late itself, and an outcome read just after the limit, which could pass before, needs its arrival now. A request that the test process writes late still fails.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -2,18 +2,27 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// conn is a connection that knows when it was opened and when it was last written to and read from.
+// conn is a connection that knows when it was opened, last written to and read from, and when bytes of the current answer
+// arrived.
 type conn struct {
 	net.Conn
 	opened time.Time
 	wrote  atomic.Pointer[time.Time]
 	read   atomic.Pointer[time.Time]
+	// before is the number of bytes that had arrived when the current request got the connection.
+	before atomic.Uint64
+	// current is the limit of the last request that got the connection.
+	current atomic.Pointer[limit]
 }
 
 // Read reads from the connection.
@@ -22,6 +31,10 @@
 	if n > 0 {
 		now := time.Now()
 		c.read.Store(&now)
+		if current := c.current.Load(); current != nil {
+			at := c.arrival()
+			current.arrived.Store(&at)
+		}
 	}
 	return n, err
 }
@@ -36,6 +49,49 @@
 	return n, err
 }
 
+// begin is called when a request gets the connection.
+func (c *conn) begin(l *limit) {
+	if info, err := c.info(); err == nil {
+		c.before.Store(info.Bytes_received)
+	}
+	c.current.Store(l)
+	l.used.Store(c)
+}
+
+// unread reports whether bytes of the current answer have arrived.
+func (c *conn) unread() bool {
+	info, err := c.info()
+	return err == nil && info.Bytes_received > c.before.Load()
+}
+
+// arrival returns when the last bytes that were read arrived. The kernel tells it, so it does not depend on when this
+// process got to read them.
+func (c *conn) arrival() time.Time {
+	info, err := c.info()
+	if err != nil {
+		return time.Now()
+	}
+	since := time.Duration(info.Last_data_recv) * time.Millisecond
+	return time.Now().Add(-since)
+}
+
+// info returns what the kernel knows about the connection.
+func (c *conn) info() (info *unix.TCPInfo, err error) {
+	socket, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var failure error
+	err = raw.Control(func(descriptor uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return info, errors.Join(err, failure)
+}
+
 // dial opens a connection.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -46,14 +102,14 @@
 	return &conn{Conn: opened, opened: time.Now()}, nil
 }
 
-// traceConnection records which connection carries a request, and tells it to got.
-func traceConnection(ctx context.Context, record *Record, got func(*conn)) context.Context {
+// traceConnection records which connection carries a request.
+func traceConnection(ctx context.Context, record *Record, l *limit) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			record.Reused = info.Reused
 			if used, ok := info.Conn.(*conn); ok {
 				record.Connected = used.opened
-				got(used)
+				used.begin(l)
 			}
 		},
 	})
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -22,15 +22,17 @@
 		kind.Timeout = defaultTimeout
 	}
 	record.Limit = kind.Timeout + c.slack
-	ctx, cancel := context.WithTimeout(context.Background(), record.Limit)
-	defer cancel()
+	ctx, limit := newLimit(record.Sent, record.Limit)
+	defer limit.stop()
 	body := bytes.Repeat([]byte("b"), max(kind.Size, 1))
 	record.Result = ResultUnsent
-	var used *conn
-	defer func() { record.noteTimes(used) }()
+	defer func() {
+		limit.check(record)
+		record.noteTimes(limit.connection())
+	}()
 	for _, node := range c.candidates() {
 		record.Node = node
-		response, err := c.client.Do(c.request(traceConnection(ctx, record, func(c *conn) { used = c }), node, kind, record, body))
+		response, err := c.client.Do(c.request(traceConnection(ctx, record, limit), node, kind, record, body))
 		if isDialError(err) && ctx.Err() == nil {
 			continue
 		}
--- a/caller/record.go
+++ b/caller/record.go
@@ -41,6 +41,8 @@
 	Read time.Time `json:"read,omitzero"`
 	// Reused reports whether the connection had carried an earlier request.
 	Reused bool `json:"reused,omitempty"`
+	// Arrived is when the last bytes of an outcome arrived that the caller read after its limit.
+	Arrived time.Time `json:"arrived,omitzero"`
 	// Due is when the caller meant to send the request; zero if that was at once.
 	Due  time.Time `json:"due,omitzero"`
 	Sent time.Time `json:"sent"`
--- a/proof/fixture_test.go
+++ b/proof/fixture_test.go
@@ -162,6 +162,7 @@
 	f.is.NoErr(err)
 	report := checker.New(f.excused...).Check(f.caller.Records(), entries)
 	f.t.Log(report)
+	f.logReadLate(f.caller.Records())
 	for _, reason := range f.caller.FailureSummary() {
 		f.t.Log(reason)
 	}
--- a/proof/lateness_test.go
+++ b/proof/lateness_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// logReadLate logs how many outcomes arrived in time and were read late.
+func (f *fixture) logReadLate(records []caller.Record) {
+	count, longest := 0, time.Duration(0)
+	for _, record := range records {
+		if !record.Arrived.IsZero() && record.Result != caller.ResultSilent {
+			count, longest = count+1, max(longest, record.Took-record.Arrived.Sub(record.Sent))
+		}
+	}
+	if count > 0 {
+		f.t.Logf("%d outcomes arrived within the limit and were read after it, up to %s after they arrived", count, longest.Round(time.Millisecond))
+	}
+}
+
 // timeline returns what the nodes logged about a request.
 func (f *fixture) timeline(request fleet.RequestID) string {
 	reader := logreader.New(string(request))
