Name the processor time of node and rig in each finding of proof

What was seen: TestFlapping lost 83 requests beside 8 busy processes, a second run of proof and other work at load 50 to 60. The caller gave up at most 8 ms late, and all 83 had been sent to one node, ledger-4. From the first of them on for 2.1 s that node ran 86 ms, and its threads were ready to run for 3.8 s without a processor. The figures stood in the ten traces only, and left out the wait that ended after the caller had given up: the kernel counts a wait when it ends.

Change: each finding names the figures of the test process and of the node next to the request, up to 1 s after it ended.

--- a/proof/lateness_test.go
+++ b/proof/lateness_test.go
@@ -22,6 +22,8 @@
 	testProcess = "test process"
 	// maxTraces limits the findings that are traced, as each one reads all logs.
 	maxTraces = 10
+	// waitMargin is the time after a request in which waits for a processor still count: the kernel tells a wait when it ends.
+	waitMargin = time.Second
 )
 
 // sample starts to sample the test process and those of the fleet. The function that it returns stops that.
@@ -46,11 +48,13 @@
 	return found
 }
 
-// usage returns the processor time of each process between two moments, one line each.
+// usage returns the processor time of each process that was sampled between two moments, one line each.
 func (f *fixture) usage(from, until time.Time) string {
 	var text strings.Builder
 	for _, name := range f.sampler.Names() {
-		fmt.Fprintf(&text, "\n%s %s", name, f.sampler.Usage(name, from, until))
+		if used := f.sampler.Usage(name, from, until); used.Span > 0 {
+			fmt.Fprintf(&text, "\n%s %s", name, used)
+		}
 	}
 	return text.String()
 }
@@ -64,14 +68,25 @@
 		byRequest[record.Request] = record
 	}
 	for i, finding := range report.Findings {
-		f.t.Error(finding)
-		if i >= maxTraces {
-			continue
-		}
 		record := byRequest[finding.Request]
-		f.t.Logf("%s\nprocessor time from %s on:%s", f.timeline(record.Request),
-			record.Sent.Format(time.StampMicro), f.usage(record.Sent, record.Sent.Add(record.Took)))
+		from, until := record.Sent, record.Sent.Add(record.Took+waitMargin)
+		node := f.nodeName(record.Node)
+		f.t.Errorf("%s; %s: %s; %s: %s", finding, testProcess, f.sampler.Usage(testProcess, from, until), node, f.sampler.Usage(node, from, until))
+		if i < maxTraces {
+			f.t.Logf("%s\nprocessor time from %s to %s:%s", f.timeline(record.Request),
+				from.Format(time.StampMicro), until.Format(time.StampMicro), f.usage(from, until))
+		}
+	}
+}
+
+// nodeName returns the name of the node with a caller address.
+func (f *fixture) nodeName(callerAddress string) string {
+	for _, vm := range f.harness.VMs() {
+		if vm.CallerAddress == callerAddress {
+			return vm.NodeName()
+		}
 	}
+	return "no node"
 }
 
 // logReadLate logs how many outcomes arrived in time and were read late.
