Tell in a finding that a request got no connection

What was seen: 129 of the requests that a run of TestFloor lost beside load had got no connection, and their findings told one that was opened at "Jan 1 00:00:00.000000".

Change: the finding tells "no time", as for the other times that are not known.

Before: TestLostFindingTellsHowLateItsCallerWas, with the new line, failed: "not true: strings.Contains(finding, ...)". It passes with -race now.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -115,7 +115,7 @@
 	}
 	report.add(ViolationLost, record, "no outcome from %s after %s: %s, status %d, %q; sent at %s over a connection opened at %s, reused %t, written to it at %s, last read from it at %s; %s",
 		record.Node, record.Took.Round(time.Millisecond), record.Result, record.Status, record.Reason,
-		record.Sent.Format(time.StampMicro), record.Connected.Format(time.StampMicro), record.Reused,
+		record.Sent.Format(time.StampMicro), stamp(record.Connected), record.Reused,
 		stamp(record.Written), stamp(record.Read), lateness(record))
 }
 
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -109,4 +109,5 @@
 	broken.Result, broken.Limit = caller.ResultBroken, 2*time.Second
 	finding = New().Check([]caller.Record{broken}, nil).Findings[0].String()
 	is.True(strings.HasSuffix(finding, "; caller sent at once"))
+	is.True(strings.Contains(finding, "over a connection opened at no time")) // none was opened
 }
