Tell in a finding only what its own request wrote and read

What was seen: beside load, findings of TestReplacementOfEverything told that requests were written 0.3 s after they were due and bytes read 0.3 s later, and no node had logged them.

Cause: the times were those of the connection. A request that waits in the test process, from when it was sent until it gets a connection, was told the write and the answer of the request that had the connection before.

Change: the times belong to the request that has the connection.

Before, with the old signature: TestTimesOfAnEarlierRequestAreNotTold failed, "not true: record.Written.IsZero()". The tests of caller pass with -race, 3 of 3.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -12,13 +12,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// conn is a connection that knows when it was opened, last written to and read from, and when bytes of the current answer
-// arrived.
+// conn is a connection that knows when it was opened, and tells the request that has it when it writes and reads.
 type conn struct {
 	net.Conn
 	opened time.Time
-	wrote  atomic.Pointer[time.Time]
-	read   atomic.Pointer[time.Time]
 	// before is the number of bytes that had arrived when the current request got the connection.
 	before atomic.Uint64
 	// current is the limit of the last request that got the connection.
@@ -28,13 +25,10 @@
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		now := time.Now()
-		c.read.Store(&now)
-		if current := c.current.Load(); current != nil {
-			at := c.arrival()
-			current.arrived.Store(&at)
-		}
+	if current := c.current.Load(); n > 0 && current != nil {
+		now, at := time.Now(), c.arrival()
+		current.read.Store(&now)
+		current.arrived.Store(&at)
 	}
 	return n, err
 }
@@ -42,9 +36,9 @@
 // Write writes to the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	if n > 0 {
+	if current := c.current.Load(); n > 0 && current != nil {
 		now := time.Now()
-		c.wrote.Store(&now)
+		current.written.Store(&now)
 	}
 	return n, err
 }
--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -21,10 +22,34 @@
 	is.True(!record.Written.After(record.Sent.Add(record.Took)))
 
 	unwritten := Record{Result: ResultBroken}
-	unwritten.noteTimes(&conn{})
+	unwritten.noteTimes(&limit{})
 	is.True(unwritten.Written.IsZero())
 }
 
+// TestTimesOfAnEarlierRequestAreNotTold guards against a finding that takes what the connection carried before for its
+// request, which was sent by then and did not have the connection yet.
+func TestTimesOfAnEarlierRequestAreNotTold(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	go func() { _, _ = theirs.Write([]byte("answer")) }()
+	go func() { _, _ = theirs.Read(make([]byte, 10)) }()
+	used := &conn{Conn: ours}
+	var earlier, later limit
+	used.begin(&earlier)
+	_, err := used.Write([]byte("request"))
+	is.NoErr(err)
+	_, err = used.Read(make([]byte, 10))
+	is.NoErr(err)
+	used.begin(&later)
+	record := Record{Result: ResultSilent}
+	record.noteTimes(&later)
+	is.True(record.Written.IsZero())
+	is.True(record.Read.IsZero())
+	record.noteTimes(&earlier)
+	is.True(!record.Written.IsZero())
+	is.True(!record.Read.IsZero())
+}
+
 // TestCutAnswersTellWhenTheyWereRead guards against a finding that does not tell a node that answered in part from one that
 // wrote nothing.
 func TestCutAnswersTellWhenTheyWereRead(t *testing.T) {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -28,7 +28,7 @@
 	record.Result = ResultUnsent
 	defer func() {
 		limit.check(record)
-		record.noteTimes(limit.connection())
+		record.noteTimes(limit)
 	}()
 	for _, node := range c.candidates() {
 		record.Node = node
--- a/caller/limit.go
+++ b/caller/limit.go
@@ -16,6 +16,8 @@
 	cancel context.CancelFunc
 	// used is the connection that carries the request.
 	used atomic.Pointer[conn]
+	// written and read are when bytes were last written to it and read from it.
+	written, read atomic.Pointer[time.Time]
 	// arrived is when the last bytes of the answer that were read had arrived.
 	arrived atomic.Pointer[time.Time]
 	// timer ends at the limit.
--- a/caller/record.go
+++ b/caller/record.go
@@ -60,16 +60,15 @@
 	Served time.Duration `json:"served"`
 }
 
-// noteTimes records when a request without an outcome was written and its answer read. A connection that broke carries
-// no later request.
-func (r *Record) noteTimes(used *conn) {
-	if used == nil || r.Result != ResultBroken && r.Result != ResultSilent {
+// noteTimes records when a request without an outcome was written and its answer read.
+func (r *Record) noteTimes(l *limit) {
+	if r.Result != ResultBroken && r.Result != ResultSilent {
 		return
 	}
-	if at := used.wrote.Load(); at != nil && !at.Before(r.Sent) {
+	if at := l.written.Load(); at != nil {
 		r.Written = *at
 	}
-	if at := used.read.Load(); at != nil && !at.Before(r.Sent) {
+	if at := l.read.Load(); at != nil {
 		r.Read = *at
 	}
 }
