--- a/caller/record.go
+++ b/caller/record.go
@@ -37,9 +37,17 @@
 	Connected time.Time `json:"connected,omitzero"`
 	// Written is when a request without an outcome was written to its connection; zero if it was not.
 	Written time.Time `json:"written,omitzero"`
+	// Read is when bytes of an answer that is no outcome were last read from that connection; zero if there were none.
+	Read time.Time `json:"read,omitzero"`
 	// Reused reports whether the connection had carried an earlier request.
-	Reused bool          `json:"reused,omitempty"`
-	Sent   time.Time     `json:"sent"`
+	Reused bool `json:"reused,omitempty"`
+	// Arrived is when the last bytes of an outcome arrived that the caller read after its limit.
+	Arrived time.Time `json:"arrived,omitzero"`
+	// Due is when the caller meant to send the request; zero if that was at once.
+	Due  time.Time `json:"due,omitzero"`
+	Sent time.Time `json:"sent"`
+	// Limit is the time after which the caller gives up.
+	Limit  time.Duration `json:"limit,omitempty"`
 	Took   time.Duration `json:"took"`
 	Result Result        `json:"result"`
 	Status int           `json:"status"`
@@ -52,12 +60,15 @@
 	Served time.Duration `json:"served"`
 }
 
-// noteWritten records when a request without an outcome was written. A connection that broke carries no later one.
-func (r *Record) noteWritten(used *conn) {
-	if used == nil || r.Result != ResultBroken && r.Result != ResultSilent {
+// noteTimes records when a request without an outcome was written and its answer read.
+func (r *Record) noteTimes(l *limit) {
+	if r.Result != ResultBroken && r.Result != ResultSilent {
 		return
 	}
-	if at := used.wrote.Load(); at != nil && !at.Before(r.Sent) {
+	if at := l.written.Load(); at != nil {
 		r.Written = *at
 	}
+	if at := l.read.Load(); at != nil {
+		r.Read = *at
+	}
 }
