--- a/admitter/stop.go
+++ b/admitter/stop.go
@@ -51,7 +51,8 @@
 }
 
 // mustLeave reports whether a request must go elsewhere because the node stops. The end of the node is no reason if the
-// request ends before it anyway; but the only request at a time that is admitted at last should be a short one.
+// request ends before it anyway. Once only one request at a time is admitted, it is one all the same: a long request would
+// keep the short ones out.
 func (a *Admitter) mustLeave(r Request, now time.Time) bool {
 	if a.stop.due.IsZero() {
 		return false
